--- /dev/null
+++ b/src/main/java/org/woadloom/core/Command.java
@@ -0,0 +1,80 @@
+package org.woadloom.core;
+
+import java.util.List;
+import org.woadloom.state.JobRecord;
+import org.woadloom.state.MachineRecord;
+import org.woadloom.wire.ListedMachine;
+import org.woadloom.wire.MachineType;
+import org.woadloom.wire.WorkerReport;
+
+/** What happens to the core. Everything it knows of the world comes through here. */
+public sealed interface Command {
+    /** A record as read from the state service. */
+    record StoredJob(JobRecord record, long stamp) {
+    }
+
+    record StoredMachine(MachineRecord record, long stamp) {
+    }
+
+    /** This node has taken the term and has read every record. */
+    record Lead(long term, List<StoredJob> jobs, List<StoredMachine> machines) implements Command {
+    }
+
+    /** This node leads no more: everything is forgotten. */
+    record StepDown() implements Command {
+    }
+
+    /** A job's record was accepted, changed or read. */
+    record JobSeen(JobRecord record, long stamp) implements Command {
+    }
+
+    /** A job's record was looked for and is not there. */
+    record JobMissing(String uid) implements Command {
+    }
+
+    /** A job's record could not be read. */
+    record JobUnreadable(String uid) implements Command {
+    }
+
+    /** A machine's record as read after a write without a clear outcome; null where there is none. */
+    record MachineSeen(String host, MachineRecord record, long stamp) implements Command {
+    }
+
+    record MachineUnreadable(String host) implements Command {
+    }
+
+    /** A worker's report, to be answered by a {@link Effect.Answer} with the same id. */
+    record Report(long replyId, WorkerReport report) implements Command {
+    }
+
+    /** The outcome of a direct command: the HTTP status, 0 for no response, -1 for never sent. */
+    record DirectResult(long sendId, String host, int status, WorkerReport report) implements Command {
+    }
+
+    enum WriteOutcome { WRITTEN, CONFLICT, UNKNOWN, NOT_WRITTEN }
+
+    record JobWritten(String uid, long version, WriteOutcome outcome, long stamp) implements Command {
+    }
+
+    record MachineWritten(String host, boolean leaving, boolean dropped, WriteOutcome outcome, long stamp)
+            implements Command {
+    }
+
+    record TypesSeen(List<MachineType> types) implements Command {
+    }
+
+    record MachinesListed(List<ListedMachine> machines) implements Command {
+    }
+
+    enum RentOutcome { RENTED, NO_CAPACITY, REFUSED, UNKNOWN }
+
+    record Rented(String claim, RentOutcome outcome, List<String> hosts) implements Command {
+    }
+
+    record Deleted(List<String> hosts, boolean done) implements Command {
+    }
+
+    /** Time has passed. */
+    record Tick() implements Command {
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/core/Core.java
@@ -0,0 +1,178 @@
+package org.woadloom.core;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.woadloom.core.capacity.Capacity;
+import org.woadloom.core.jobs.Job;
+import org.woadloom.core.jobs.JobTable;
+import org.woadloom.core.jobs.Placement;
+import org.woadloom.core.jobs.Recorder;
+import org.woadloom.core.machines.Directs;
+import org.woadloom.core.machines.Losses;
+import org.woadloom.core.machines.Machine;
+import org.woadloom.core.machines.MachineTable;
+import org.woadloom.core.machines.Reports;
+import org.woadloom.core.placement.Eligibility;
+import org.woadloom.core.placement.Placer;
+import org.woadloom.core.placement.Preemption;
+import org.woadloom.wire.MachineType;
+
+/**
+ * The one owner of all state. It is pure: the same commands at the same times give the same effects, and nothing in it
+ * reads a clock, a file or a socket.
+ */
+public final class Core {
+    private final CoreSettings settings;
+    private List<MachineType> types = List.of();
+    private Leadership leadership;
+
+    /** The parts that exist only while this node leads. */
+    private static final class Leadership {
+        final World world;
+        final Losses losses;
+        final JobTable jobs;
+        final Recorder recorder;
+        final MachineTable machines;
+        final Reports reports;
+        final Directs directs;
+        final Placer placer;
+        final Preemption preemption;
+        final Capacity capacity;
+
+        Leadership(World world) {
+            this.world = world;
+            losses = new Losses(world);
+            jobs = new JobTable(world);
+            recorder = new Recorder(world, jobs);
+            machines = new MachineTable(world, losses);
+            reports = new Reports(world, machines, losses);
+            directs = new Directs(world, reports, losses);
+            Eligibility eligibility = new Eligibility(world);
+            placer = new Placer(world, eligibility);
+            preemption = new Preemption(world, eligibility, placer);
+            capacity = new Capacity(world, eligibility, placer, machines);
+        }
+    }
+
+    public Core(CoreSettings settings) {
+        this.settings = settings;
+    }
+
+    public boolean leads() {
+        return leadership != null;
+    }
+
+    /** Applies the commands in order, then does what has become possible or due. */
+    public List<Effect> step(long nowMicros, long wallMicros, List<Command> commands) {
+        List<Effect> effects = new ArrayList<>();
+        for (Command command : commands) {
+            if (command instanceof Command.Lead lead) {
+                takeOver(nowMicros, wallMicros, lead);
+            } else if (command instanceof Command.StepDown) {
+                leadership = null;
+            } else if (command instanceof Command.TypesSeen seen) {
+                types = seen.types();
+                if (leadership != null) {
+                    leadership.machines.typesSeen(types);
+                }
+            } else if (leadership != null) {
+                leadership.world.nowMicros = nowMicros;
+                leadership.world.wallMicros = wallMicros;
+                apply(leadership, command);
+            }
+        }
+        if (leadership != null) {
+            leadership.world.nowMicros = nowMicros;
+            leadership.world.wallMicros = wallMicros;
+            work(leadership);
+            effects.addAll(leadership.world.takeEffects());
+        }
+        return effects;
+    }
+
+    private void takeOver(long nowMicros, long wallMicros, Command.Lead lead) {
+        World world = new World(settings, lead.term(), nowMicros, wallMicros);
+        leadership = new Leadership(world);
+        for (Command.StoredMachine machine : lead.machines()) {
+            leadership.machines.load(machine);
+        }
+        for (Command.StoredJob job : lead.jobs()) {
+            leadership.jobs.load(job);
+        }
+        leadership.machines.typesSeen(types);
+        world.note("leading term " + lead.term() + " with " + lead.jobs().size() + " jobs and "
+                + lead.machines().size() + " machines");
+    }
+
+    private static void apply(Leadership l, Command command) {
+        if (command instanceof Command.Report report) {
+            l.reports.report(report);
+        } else if (command instanceof Command.DirectResult result) {
+            l.directs.result(result);
+        } else if (command instanceof Command.JobWritten written) {
+            l.recorder.written(written);
+        } else if (command instanceof Command.JobSeen seen) {
+            l.jobs.seen(seen.record(), seen.stamp());
+        } else if (command instanceof Command.JobMissing missing) {
+            l.jobs.missing(missing.uid());
+        } else if (command instanceof Command.JobUnreadable unreadable) {
+            l.recorder.readFailed(unreadable.uid());
+        } else if (command instanceof Command.MachineWritten written) {
+            l.machines.written(written);
+        } else if (command instanceof Command.MachineSeen seen) {
+            l.machines.seen(seen);
+        } else if (command instanceof Command.MachineUnreadable unreadable) {
+            l.machines.unreadable(unreadable.host());
+        } else if (command instanceof Command.MachinesListed listed) {
+            l.machines.listed(listed.machines());
+        } else if (command instanceof Command.Rented rented) {
+            l.capacity.rented(rented);
+        } else if (command instanceof Command.Deleted deleted) {
+            l.machines.deleted(deleted);
+        }
+    }
+
+    private static void work(Leadership l) {
+        endLeases(l);
+        drain(l);
+        l.recorder.release();
+        l.placer.place();
+        l.preemption.makeRoom();
+        l.capacity.review();
+        l.recorder.emitWrites();
+        l.machines.emitWrites();
+        l.directs.emitSends();
+        l.machines.forget();
+    }
+
+    /** A worker that we alone answer, and have not answered for longer than its lease, has killed its tasks. */
+    private static void endLeases(Leadership l) {
+        World world = l.world;
+        for (Machine machine : world.machines.values()) {
+            if (machine.up() && !machine.deleted
+                    && world.nowMicros - machine.lastAnsweredMicros > world.settings.leaseOverMicros()) {
+                world.note("the lease of " + machine.host + " is over");
+                machine.leastTenure = machine.tenure + 1;
+                l.losses.session(machine, "the lease is over");
+            }
+        }
+    }
+
+    /** Tasks that can save leave a machine that the cloud is about to take; so do all on one that is returned. */
+    private static void drain(Leadership l) {
+        for (Machine machine : l.world.machines.values()) {
+            if (machine.takenMicros < 0 && !machine.leaving) {
+                continue;
+            }
+            for (Placement placement : machine.snapshot()) {
+                Job job = placement.job;
+                if (placement.neverSent()) {
+                    l.losses.gone(placement);
+                } else if (!placement.halting && (machine.leaving || job.description.snapshotEveryS() > 0)) {
+                    placement.halting = true;
+                    placement.windDownS = job.description.snapshotCostS();
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/core/CoreSettings.java
@@ -0,0 +1,22 @@
+package org.woadloom.core;
+
+import java.util.List;
+import org.woadloom.settings.OperatorSettings;
+import org.woadloom.settings.ServiceSettings;
+import org.woadloom.settings.Team;
+
+/** What the core is told of the deployment. */
+public record CoreSettings(List<Team> teams, long reportMicros, long leaseMicros, long cancelMicros, int valueBytes,
+        long listLagMicros, OperatorSettings operator) {
+
+    public static CoreSettings of(ServiceSettings settings, OperatorSettings operator) {
+        return new CoreSettings(settings.teams(), settings.workers().reportMicros(), settings.workers().leaseMicros(),
+                settings.workers().cancelMicros(), settings.state().valueBytes(), settings.cloud().listLagMicros(),
+                operator);
+    }
+
+    /** How long after an answer a worker's lease is certainly over, with clocks that drift and timers that step. */
+    public long leaseOverMicros() {
+        return leaseMicros + leaseMicros / 500 + 250_000;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/core/Effect.java
@@ -0,0 +1,51 @@
+package org.woadloom.core;
+
+import java.util.List;
+import org.woadloom.state.FinalRecord;
+import org.woadloom.state.JobRecord;
+import org.woadloom.state.MachineRecord;
+import org.woadloom.wire.Order;
+
+/** What the core wants done. Outcomes come back as commands. */
+public sealed interface Effect {
+    record Answer(long replyId, long epoch, List<Order> orders) implements Effect {
+    }
+
+    record SendDirect(long sendId, String host, String addr, long epoch, long tenure, List<Order> orders)
+            implements Effect {
+    }
+
+    /** Write the job's record on condition that its stamp is still {@code stamp}. */
+    record PutJob(JobRecord record, long stamp, boolean urgent) implements Effect {
+    }
+
+    /** Replace the job's record by its final state, on the same condition. */
+    record FinishJob(FinalRecord record, long stamp, long version) implements Effect {
+    }
+
+    record ReadJob(String uid) implements Effect {
+    }
+
+    record PutMachine(MachineRecord record, long stamp) implements Effect {
+    }
+
+    record DropMachine(String host, long stamp) implements Effect {
+    }
+
+    record ReadMachine(String host) implements Effect {
+    }
+
+    record Rent(String claim, String hosttype, String yard, boolean reclaimable, int count) implements Effect {
+    }
+
+    record Delete(List<String> hosts) implements Effect {
+    }
+
+    /** The core has seen proof that another node leads. */
+    record Abdicate(String reason) implements Effect {
+    }
+
+    /** One line for the log. */
+    record Note(boolean debug, String text) implements Effect {
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/core/World.java
@@ -0,0 +1,73 @@
+package org.woadloom.core;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.woadloom.core.jobs.Job;
+import org.woadloom.core.machines.Machine;
+import org.woadloom.core.teams.TeamUse;
+import org.woadloom.settings.Team;
+import org.woadloom.wire.MachineType;
+
+/** Everything one term of leadership knows, and the effects of the step that is under way. */
+public final class World {
+    public final CoreSettings settings;
+    public final long term;
+    public final long startedMicros;
+    public final Map<String, Job> jobs = new LinkedHashMap<>();
+    public final Map<String, Machine> machines = new LinkedHashMap<>();
+    public final Map<String, TeamUse> teams = new LinkedHashMap<>();
+    public final Map<String, MachineType> types = new LinkedHashMap<>();
+    public long nowMicros;
+    public long wallMicros;
+    /** Set when something changed that may let a task be placed. */
+    public boolean placementWorthTrying = true;
+    private List<Effect> effects = new ArrayList<>();
+    private long attempts;
+    private long sends;
+    private long claims;
+
+    World(CoreSettings settings, long term, long nowMicros, long wallMicros) {
+        this.settings = settings;
+        this.term = term;
+        this.startedMicros = nowMicros;
+        this.nowMicros = nowMicros;
+        this.wallMicros = wallMicros;
+        for (Team team : settings.teams()) {
+            teams.put(team.name(), new TeamUse(team));
+        }
+    }
+
+    public void emit(Effect effect) {
+        effects.add(effect);
+    }
+
+    public void note(String text) {
+        effects.add(new Effect.Note(false, text));
+    }
+
+    public void debug(String text) {
+        effects.add(new Effect.Note(true, text));
+    }
+
+    List<Effect> takeEffects() {
+        List<Effect> taken = effects;
+        effects = new ArrayList<>();
+        return taken;
+    }
+
+    /** An attempt number that no leader has used or will use: the term is taken once only. */
+    public long newAttempt() {
+        return (term << 32) + ++attempts;
+    }
+
+    public long newSend() {
+        return ++sends;
+    }
+
+    /** A rental request's name, which must never be used again by any node. */
+    public String newClaim() {
+        return "r-" + term + "-" + ++claims;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/core/capacity/Capacity.java
@@ -0,0 +1,242 @@
+package org.woadloom.core.capacity;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.woadloom.core.Command;
+import org.woadloom.core.Effect;
+import org.woadloom.core.World;
+import org.woadloom.core.jobs.Job;
+import org.woadloom.core.machines.Machine;
+import org.woadloom.core.machines.MachineTable;
+import org.woadloom.core.placement.Eligibility;
+import org.woadloom.core.placement.Placer;
+import org.woadloom.core.placement.Room;
+import org.woadloom.state.MachineRecord;
+import org.woadloom.wire.MachineType;
+
+/** Rents machines for work that finds no room, and returns those that are idle. */
+public final class Capacity {
+    private static final int MAX_COUNT = 50;
+    private static final int MAX_CLAIMS = 4;
+    private static final long REVIEW_MICROS = 500_000;
+    private static final long NO_CAPACITY_MICROS = 15_000_000;
+    private static final long REPEAT_MICROS = 1_500_000;
+
+    private final World world;
+    private final Eligibility eligibility;
+    private final Placer placer;
+    private final MachineTable machines;
+    private final Map<String, Claim> claims = new LinkedHashMap<>();
+    private final Map<Kind, Long> notBefore = new LinkedHashMap<>();
+    private long reviewedMicros = Long.MIN_VALUE / 2;
+
+    /** What can be rented. */
+    private record Kind(MachineType type, String yard, boolean reclaimable) {
+        double price() {
+            return reclaimable ? type.marketPrice() : type.rate();
+        }
+    }
+
+    private static final class Claim {
+        final String name;
+        final Kind kind;
+        final int count;
+        boolean sent;
+        long againMicros;
+
+        Claim(String name, Kind kind, int count) {
+            this.name = name;
+            this.kind = kind;
+            this.count = count;
+        }
+    }
+
+    /** Room that will be there, or is, for the rest of this review. */
+    private static final class Supply {
+        final Kind kind;
+        Room free;
+
+        Supply(Kind kind, Room free) {
+            this.kind = kind;
+            this.free = free;
+        }
+    }
+
+    public Capacity(World world, Eligibility eligibility, Placer placer, MachineTable machines) {
+        this.world = world;
+        this.eligibility = eligibility;
+        this.placer = placer;
+        this.machines = machines;
+    }
+
+    public void review() {
+        for (Claim claim : claims.values()) {
+            if (!claim.sent && world.nowMicros >= claim.againMicros) {
+                claim.sent = true;
+                world.emit(new Effect.Rent(claim.name, claim.kind.type.name(), claim.kind.yard, claim.kind.reclaimable,
+                        claim.count));
+            }
+        }
+        if (world.nowMicros - reviewedMicros < REVIEW_MICROS || world.types.isEmpty()) {
+            return;
+        }
+        reviewedMicros = world.nowMicros;
+        if (world.nowMicros - world.startedMicros > 4 * world.settings.reportMicros()) {
+            rent();
+        }
+        giveBack();
+    }
+
+    private void rent() {
+        List<Supply> supply = new ArrayList<>();
+        for (Machine machine : world.machines.values()) {
+            if (!machine.heard() && !machine.leaving && !machine.deleted && machine.type != null) {
+                supply.add(new Supply(new Kind(machine.type, machine.yard, machine.reclaimable), machine.size));
+            }
+        }
+        for (Claim claim : claims.values()) {
+            for (int i = 0; i < claim.count; i++) {
+                supply.add(new Supply(claim.kind, Room.of(claim.kind.type)));
+            }
+        }
+        Map<Kind, Integer> wanted = new LinkedHashMap<>();
+        for (Job job : placer.queue()) {
+            int tasks = Math.min(job.pending(), job.team.allowed(job.room));
+            for (Supply s : supply) {
+                while (tasks > 0 && s.free.holds(job.room) && usable(job, s.kind)) {
+                    s.free = s.free.minus(job.room);
+                    tasks--;
+                }
+            }
+            while (tasks > 0) {
+                Kind kind = cheapest(job, tasks);
+                if (kind == null) {
+                    break;
+                }
+                Room room = Room.of(kind.type);
+                wanted.merge(kind, 1, Integer::sum);
+                int fits = Math.min(tasks, room.count(job.room));
+                supply.add(new Supply(kind, room.minus(job.room.times(fits))));
+                tasks -= fits;
+            }
+        }
+        for (Map.Entry<Kind, Integer> entry : wanted.entrySet()) {
+            if (claims.size() >= MAX_CLAIMS) {
+                break;
+            }
+            Claim claim = new Claim(world.newClaim(), entry.getKey(), Math.min(MAX_COUNT, entry.getValue()));
+            claims.put(claim.name, claim);
+            claim.sent = true;
+            world.note("renting " + claim.count + " " + claim.kind.type.name() + " in " + claim.kind.yard
+                    + (claim.kind.reclaimable ? " (spot)" : "") + " as " + claim.name);
+            world.emit(new Effect.Rent(claim.name, claim.kind.type.name(), claim.kind.yard, claim.kind.reclaimable,
+                    claim.count));
+        }
+    }
+
+    private boolean usable(Job job, Kind kind) {
+        return eligibility.allows(job.description, kind.type, kind.yard, kind.reclaimable)
+                && eligibility.allowsYard(job, kind.yard);
+    }
+
+    /** The kind with the lowest price for this many tasks. */
+    private Kind cheapest(Job job, int tasks) {
+        Kind best = null;
+        double bestPrice = 0;
+        for (MachineType type : world.types.values()) {
+            for (String yard : type.yards()) {
+                for (boolean reclaimable : new boolean[] {true, false}) {
+                    Kind kind = new Kind(type, yard, reclaimable);
+                    int fits = Room.of(type).count(job.room);
+                    if (fits < 1 || !usable(job, kind)
+                            || notBefore.getOrDefault(kind, Long.MIN_VALUE) > world.nowMicros) {
+                        continue;
+                    }
+                    double price = kind.price() / Math.min(fits, tasks);
+                    if (best == null || price < bestPrice) {
+                        best = kind;
+                        bestPrice = price;
+                    }
+                }
+            }
+        }
+        return best;
+    }
+
+    public void rented(Command.Rented result) {
+        Claim claim = claims.get(result.claim());
+        if (claim == null) {
+            return;
+        }
+        switch (result.outcome()) {
+            case RENTED -> {
+                claims.remove(claim.name);
+                for (String host : result.hosts()) {
+                    Machine machine = machines.adopt(new MachineRecord(host, claim.kind.type.name(), claim.kind.yard,
+                            claim.kind.reclaimable, false));
+                    machine.rentedMicros = world.nowMicros;
+                }
+                if (result.hosts().size() < claim.count) {
+                    notBefore.put(claim.kind, world.nowMicros + NO_CAPACITY_MICROS);
+                }
+                world.note("rented " + result.hosts() + " as " + claim.name);
+            }
+            case NO_CAPACITY -> {
+                claims.remove(claim.name);
+                notBefore.put(claim.kind, world.nowMicros + NO_CAPACITY_MICROS);
+                world.note("no capacity for " + claim.name);
+            }
+            case REFUSED, UNKNOWN -> {
+                // The same claim again: it may have been granted, and then gives the same answer.
+                claim.sent = false;
+                claim.againMicros = world.nowMicros + REPEAT_MICROS;
+            }
+        }
+    }
+
+    private void giveBack() {
+        Room free = Room.NONE;
+        Room used = Room.NONE;
+        for (Machine machine : world.machines.values()) {
+            if (eligibility.takesTasks(machine)) {
+                free = free.plus(machine.free());
+                used = used.plus(machine.used());
+            }
+        }
+        double headroom = world.settings.operator().headroom();
+        for (Machine machine : world.machines.values()) {
+            if (machine.leaving || machine.deleted) {
+                continue;
+            }
+            if (neverCame(machine) || lost(machine) || machine.takenMicros >= 0 && machine.empty()) {
+                machine.leaving = true;
+                world.note("machine " + machine.host + " is given up");
+            } else if (machine.heard() && machine.empty() && eligibility.takesTasks(machine)
+                    && world.nowMicros - machine.idleSinceMicros > world.settings.operator().idleReturnMicros()
+                    && free.minus(machine.size).cpu() > used.cpu() * headroom) {
+                machine.leaving = true;
+                free = free.minus(machine.size);
+                world.note("machine " + machine.host + " is returned: idle");
+            }
+        }
+    }
+
+    private boolean neverCame(Machine machine) {
+        if (machine.heard() || machine.type == null || !machine.empty()) {
+            return false;
+        }
+        long patience = 4 * machine.type.readyMicros() + 30_000_000;
+        return world.nowMicros - Math.max(machine.rentedMicros, world.startedMicros) > patience;
+    }
+
+    /** A worker that is silent for longer than a lease has lost its tasks; deleting the machine proves it. */
+    private boolean lost(Machine machine) {
+        long silence = world.nowMicros - Math.max(machine.lastHeardMicros, world.startedMicros);
+        if (!machine.heard()) {
+            return !machine.empty() && silence > world.settings.leaseOverMicros() + 2_000_000;
+        }
+        return silence > world.settings.leaseOverMicros() + 20_000_000;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/core/jobs/Job.java
@@ -0,0 +1,141 @@
+package org.woadloom.core.jobs;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.agrona.collections.Int2ObjectHashMap;
+import org.woadloom.core.placement.Room;
+import org.woadloom.core.teams.TeamUse;
+import org.woadloom.state.JobRecord;
+import org.woadloom.wire.JobDescription;
+import org.woadloom.wire.TaskReport;
+
+/** A job that is not over, or that may still have tasks on machines. */
+public final class Job {
+    public final JobDescription description;
+    public final Room room;
+    public final TeamUse team;
+    public final long submittedWallMicros;
+    public final long submittedMicros;
+    /** Tasks that are done: a subset of this may not be durable yet. */
+    public final BitSet done;
+    public final Recording recording;
+    /** Done or placed: what is clear here is pending. */
+    private final BitSet taken = new BitSet();
+    private final Int2ObjectHashMap<Placement> placements = new Int2ObjectHashMap<>();
+    private final Map<String, Integer> perYard = new LinkedHashMap<>();
+    public boolean cancelled;
+    public int failures;
+    public long notBeforeMicros;
+    /** Machines on which tasks of the job ended with an error. */
+    public final Set<String> failedOn = new LinkedHashSet<>();
+
+    public Job(JobRecord record, long stamp, TeamUse team, long submittedMicros) {
+        this.description = record.description();
+        this.room = Room.of(record.description());
+        this.team = team;
+        this.submittedWallMicros = record.submittedWallMicros();
+        this.submittedMicros = submittedMicros;
+        this.done = (BitSet) record.done().clone();
+        this.taken.or(record.done());
+        this.cancelled = record.cancelled();
+        this.recording = new Recording(stamp);
+    }
+
+    public String uid() {
+        return description.uid();
+    }
+
+    public boolean allDone() {
+        return !description.service() && done.cardinality() == description.shards();
+    }
+
+    /** True when nothing is left to run: only tasks that must go may still be somewhere. */
+    public boolean over() {
+        return cancelled || allDone();
+    }
+
+    public Collection<Placement> placements() {
+        return placements.values();
+    }
+
+    public Placement placement(int index) {
+        return placements.get(index);
+    }
+
+    public int placedIn(String yard) {
+        return perYard.getOrDefault(yard, 0);
+    }
+
+    /** The zones in which tasks of the job are or may be. */
+    public Collection<String> yards() {
+        return perYard.keySet();
+    }
+
+    public int pending() {
+        return over() ? 0 : description.shards() - taken.cardinality();
+    }
+
+    public int nextPending(int from) {
+        int next = taken.nextClearBit(from);
+        return next < description.shards() ? next : -1;
+    }
+
+    public void add(Placement placement) {
+        placements.put(placement.index, placement);
+        taken.set(placement.index);
+        perYard.merge(placement.machine.yard, 1, Integer::sum);
+        placement.machine.add(placement);
+        team.add(room);
+    }
+
+    public void remove(Placement placement) {
+        if (placements.get(placement.index) != placement) {
+            return;
+        }
+        placements.remove(placement.index);
+        if (!done.get(placement.index)) {
+            taken.clear(placement.index);
+        }
+        perYard.computeIfPresent(placement.machine.yard, (yard, count) -> count == 1 ? null : count - 1);
+        placement.machine.remove(placement);
+        team.subtract(room);
+    }
+
+    public boolean markDone(int index) {
+        if (done.get(index)) {
+            return false;
+        }
+        done.set(index);
+        taken.set(index);
+        return true;
+    }
+
+    public int running() {
+        int running = 0;
+        for (Placement placement : placements.values()) {
+            if (placement.seen == TaskReport.State.RUNNING) {
+                running++;
+            }
+        }
+        return running;
+    }
+
+    /** The record as it should be written now. */
+    public JobRecord toRecord(long term, long version) {
+        Map<String, JobRecord.Placed> groups = new LinkedHashMap<>();
+        List<Placement> ordered = new ArrayList<>(placements.values());
+        ordered.sort((a, b) -> Integer.compare(a.index, b.index));
+        for (Placement p : ordered) {
+            groups.computeIfAbsent(p.machine.host + " " + p.attempt,
+                    k -> new JobRecord.Placed(p.machine.host, p.attempt, new BitSet())).tasks().set(p.index);
+        }
+        return new JobRecord(description, submittedWallMicros, cancelled, (BitSet) done.clone(),
+                List.copyOf(groups.values()), running(), term, version);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/core/jobs/JobTable.java
@@ -0,0 +1,125 @@
+package org.woadloom.core.jobs;
+
+import java.util.ArrayList;
+import org.woadloom.core.Command;
+import org.woadloom.core.World;
+import org.woadloom.core.machines.Machine;
+import org.woadloom.core.teams.TeamUse;
+import org.woadloom.state.JobRecord;
+
+/** Jobs as they are accepted, cancelled and read back. */
+public final class JobTable {
+    private final World world;
+
+    public JobTable(World world) {
+        this.world = world;
+    }
+
+    /** Takes over a job from its record: what the record names may be there. */
+    public void load(Command.StoredJob stored) {
+        JobRecord record = stored.record();
+        Job job = create(record, stored.stamp());
+        if (job == null) {
+            return;
+        }
+        for (JobRecord.Placed placed : record.placed()) {
+            Machine machine = world.machines.get(placed.host());
+            if (machine == null) {
+                // A machine's record is dropped only after its deletion was answered, so nothing is left there.
+                job.recording.needs(Recording.Need.OUTCOME);
+                continue;
+            }
+            for (int i = placed.tasks().nextSetBit(0); i >= 0; i = placed.tasks().nextSetBit(i + 1)) {
+                Placement placement = new Placement(job, i, machine, placed.attempt(), 0, world.nowMicros);
+                placement.stage = Placement.Stage.INHERITED;
+                job.add(placement);
+                if (job.over() || job.done.get(i)) {
+                    placement.halting = true;
+                }
+            }
+        }
+        if (job.over()) {
+            job.recording.needs(Recording.Need.LAUNCH);
+        }
+    }
+
+    /** A record that came from another node, from the watch or from a read. */
+    public void seen(JobRecord record, long stamp) {
+        Job job = world.jobs.get(record.description().uid());
+        if (job == null) {
+            if (record.term() < world.term && record.placed().isEmpty()) {
+                create(record, stamp);
+                world.placementWorthTrying = true;
+            }
+            return;
+        }
+        Recording recording = job.recording;
+        boolean answersRead = recording.reading && recording.readSent;
+        if (stamp < recording.stamp) {
+            return;
+        }
+        if (record.term() == world.term && record.version() > recording.durable) {
+            // One of this term's own writes: it is durable, whatever became of the answer.
+            recording.durable = record.version();
+        }
+        recording.stamp = stamp;
+        if (record.cancelled() && !job.cancelled) {
+            cancel(job);
+        }
+        if (answersRead) {
+            recording.reading = false;
+            recording.readSent = false;
+            recording.writing = 0;
+            // The record may lack what the lost write held; the next write carries everything.
+            recording.needs(Recording.Need.LAUNCH);
+            recording.finishing = false;
+        }
+    }
+
+    /** The record is gone, and only a leader's final write removes it. */
+    public void missing(String uid) {
+        Job job = world.jobs.get(uid);
+        if (job != null && job.recording.reading && job.recording.readSent) {
+            finished(job);
+        }
+    }
+
+    public void finished(Job job) {
+        world.jobs.remove(job.uid());
+    }
+
+    private Job create(JobRecord record, long stamp) {
+        TeamUse team = world.teams.get(record.description().crew());
+        if (team == null) {
+            world.note("job " + record.description().uid() + " names a team that the settings do not have");
+            return null;
+        }
+        long age = Math.max(0, world.wallMicros - record.submittedWallMicros());
+        Job job = new Job(record, stamp, team, world.nowMicros - age);
+        world.jobs.put(job.uid(), job);
+        if (job.cancelled) {
+            job.recording.needs(Recording.Need.LAUNCH);
+        }
+        return job;
+    }
+
+    private void cancel(Job job) {
+        job.cancelled = true;
+        world.note("job " + job.uid() + " cancelled");
+        halt(job);
+        job.recording.needs(Recording.Need.LAUNCH);
+        world.placementWorthTrying = true;
+    }
+
+    /** Stops everything of a job that is over. What was never sent is gone at once. */
+    public void halt(Job job) {
+        for (Placement placement : new ArrayList<>(job.placements())) {
+            if (placement.neverSent()) {
+                job.remove(placement);
+            } else {
+                placement.halting = true;
+                placement.windDownS = 0;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/core/jobs/Placement.java
@@ -0,0 +1,65 @@
+package org.woadloom.core.jobs;
+
+import org.woadloom.core.machines.Machine;
+import org.woadloom.wire.TaskId;
+import org.woadloom.wire.TaskReport;
+
+/**
+ * A task that is, or may be, on a machine under one attempt. It counts for everything from the moment it is decided
+ * until there is proof that the attempt is not there and never will be.
+ */
+public final class Placement {
+    /** How far the launch has come. */
+    public enum Stage {
+        /** Decided; the record that names it is not yet known to be durable. */
+        PLANNED,
+        /** Durable and not sent. */
+        READY,
+        /** Sent straight to the worker, with no answer yet. */
+        SENT,
+        /** Sent straight to the worker, and no answer came: it may be executed minutes late. */
+        UNANSWERED,
+        /** Sent in the answer to a report; that worker's next report settles it. */
+        ANSWERED,
+        /** The worker is known to have it. */
+        THERE,
+        /** Loaded from a record that an earlier leader wrote: anything may be true of it. */
+        INHERITED
+    }
+
+    public final Job job;
+    public final int index;
+    public final Machine machine;
+    public final long attempt;
+    /** The version of the job's record that first names this placement. */
+    public final long version;
+    public final long placedMicros;
+    public Stage stage = Stage.PLANNED;
+    /** The token under which the last launch was sent. */
+    public long sentToken;
+    public long answeredTick;
+    public TaskReport.State seen;
+    public long runningSinceMicros = -1;
+    /** Set when the task is to stop; the launch is never sent again then. */
+    public boolean halting;
+    public long haltSentMicros = -1;
+    public double windDownS;
+
+    public Placement(Job job, int index, Machine machine, long attempt, long version, long nowMicros) {
+        this.job = job;
+        this.index = index;
+        this.machine = machine;
+        this.attempt = attempt;
+        this.version = version;
+        this.placedMicros = nowMicros;
+    }
+
+    public TaskId task() {
+        return new TaskId(job.uid(), index);
+    }
+
+    /** True while no launch of this attempt can ever have left. */
+    public boolean neverSent() {
+        return stage == Stage.PLANNED || stage == Stage.READY;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/core/jobs/Recorder.java
@@ -0,0 +1,115 @@
+package org.woadloom.core.jobs;
+
+import java.util.ArrayList;
+import org.woadloom.core.Command;
+import org.woadloom.core.Effect;
+import org.woadloom.core.World;
+import org.woadloom.state.FinalRecord;
+
+/** Keeps the jobs' durable records up with what the core knows; one write of a job is under way at a time. */
+public final class Recorder {
+    private static final long PHASE_MICROS = 1_000_000;
+    private static final long OUTCOME_MICROS = 250_000;
+    private static final long RETRY_MICROS = 150_000;
+
+    private final World world;
+    private final JobTable table;
+
+    public Recorder(World world, JobTable table) {
+        this.world = world;
+        this.table = table;
+    }
+
+    public void emitWrites() {
+        for (Job job : new ArrayList<>(world.jobs.values())) {
+            Recording recording = job.recording;
+            if (world.nowMicros < recording.retryMicros) {
+                continue;
+            }
+            if (recording.reading) {
+                if (!recording.readSent) {
+                    recording.readSent = true;
+                    recording.retryMicros = world.nowMicros + RETRY_MICROS;
+                    world.emit(new Effect.ReadJob(job.uid()));
+                }
+                continue;
+            }
+            if (recording.writing != 0 || !due(recording)) {
+                continue;
+            }
+            if (job.over() && job.placements().isEmpty()) {
+                recording.finishing = true;
+                long version = recording.begin(world.nowMicros);
+                world.emit(new Effect.FinishJob(
+                        new FinalRecord(job.uid(), job.cancelled, job.done.cardinality()), recording.stamp, version));
+            } else {
+                boolean urgent = recording.need == Recording.Need.LAUNCH;
+                long version = recording.begin(world.nowMicros);
+                world.emit(new Effect.PutJob(job.toRecord(world.term, version), recording.stamp, urgent));
+            }
+        }
+    }
+
+    private boolean due(Recording recording) {
+        long since = world.nowMicros - recording.lastWriteMicros;
+        return switch (recording.need) {
+            case NONE -> false;
+            case PHASE -> since >= PHASE_MICROS;
+            case OUTCOME -> since >= OUTCOME_MICROS;
+            case LAUNCH -> true;
+        };
+    }
+
+    public void written(Command.JobWritten result) {
+        Job job = world.jobs.get(result.uid());
+        if (job == null) {
+            return;
+        }
+        Recording recording = job.recording;
+        switch (result.outcome()) {
+            case WRITTEN -> {
+                boolean finishing = recording.finishing && recording.writing == result.version();
+                recording.confirmed(result.version(), result.stamp());
+                if (finishing) {
+                    world.note("job " + job.uid() + (job.cancelled ? " cancelled and gone" : " done"));
+                    table.finished(job);
+                }
+            }
+            case CONFLICT, UNKNOWN -> {
+                if (recording.writing == result.version()) {
+                    // Nothing may be concluded from a write without an answer: read before the next one.
+                    recording.reading = true;
+                    recording.readSent = false;
+                }
+            }
+            case NOT_WRITTEN -> {
+                if (recording.writing == result.version()) {
+                    recording.writing = 0;
+                    recording.finishing = false;
+                    recording.needs(Recording.Need.LAUNCH);
+                    recording.retryMicros = world.nowMicros + RETRY_MICROS;
+                }
+            }
+        }
+    }
+
+    /** A read that got no answer is sent again. */
+    public void readFailed(String uid) {
+        Job job = world.jobs.get(uid);
+        if (job != null && job.recording.reading) {
+            job.recording.readSent = false;
+            job.recording.retryMicros = world.nowMicros + RETRY_MICROS;
+        }
+    }
+
+    /** Placements whose record has become durable may be launched. */
+    public void release() {
+        for (Job job : world.jobs.values()) {
+            for (Placement placement : job.placements()) {
+                if (placement.stage == Placement.Stage.PLANNED && placement.version <= job.recording.durable) {
+                    placement.stage = Placement.Stage.READY;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/core/machines/Directs.java
@@ -0,0 +1,131 @@
+package org.woadloom.core.machines;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.woadloom.core.Command;
+import org.woadloom.core.Effect;
+import org.woadloom.core.World;
+import org.woadloom.core.jobs.Placement;
+import org.woadloom.core.jobs.Placement.Stage;
+import org.woadloom.wire.Order;
+
+/** Sends commands straight to workers, one request at a time to each. */
+public final class Directs {
+    private static final int MAX_ORDERS = 400;
+    private static final int NOT_SENT = -1;
+    private static final long PAUSE_MICROS = 2_000_000;
+
+    private final World world;
+    private final Reports reports;
+    private final Losses losses;
+    private final Map<Long, List<Placement>> launched = new HashMap<>();
+
+    public Directs(World world, Reports reports, Losses losses) {
+        this.world = world;
+        this.reports = reports;
+        this.losses = losses;
+    }
+
+    public void emitSends() {
+        for (Machine machine : world.machines.values()) {
+            if (machine.sendInFlight == 0 && machine.heard() && !machine.deleted && !machine.addr.isEmpty()
+                    && machine.directWorks(world.nowMicros) && machine.tenure >= machine.leastTenure) {
+                send(machine);
+            }
+        }
+    }
+
+    private void send(Machine machine) {
+        List<Order> orders = new ArrayList<>();
+        List<Placement> launches = new ArrayList<>();
+        if (machine.acknowledged()) {
+            for (Placement placement : machine.placements()) {
+                if (orders.size() >= MAX_ORDERS) {
+                    break;
+                }
+                if (placement.stage == Stage.READY && !placement.halting) {
+                    orders.add(Order.launch(placement.task(), placement.attempt));
+                    launches.add(placement);
+                } else if (placement.halting && !placement.neverSent() && placement.haltSentMicros < 0) {
+                    placement.haltSentMicros = world.nowMicros;
+                    // Halts come first, so that the room they free is there for the launches.
+                    orders.add(0, Order.halt(placement.task(), placement.attempt, placement.windDownS));
+                }
+            }
+        }
+        if (orders.isEmpty() && !machine.greet) {
+            return;
+        }
+        machine.greet = false;
+        long id = world.newSend();
+        machine.sendInFlight = id;
+        for (Placement placement : launches) {
+            placement.stage = Stage.SENT;
+            placement.sentToken = machine.token();
+        }
+        launched.put(id, launches);
+        world.emit(new Effect.SendDirect(id, machine.host, machine.addr, machine.token(), machine.tenure, orders));
+    }
+
+    public void result(Command.DirectResult result) {
+        List<Placement> launches = launched.remove(result.sendId());
+        Machine machine = world.machines.get(result.host());
+        if (machine == null || launches == null) {
+            return;
+        }
+        if (machine.sendInFlight == result.sendId()) {
+            machine.sendInFlight = 0;
+        }
+        launches.removeIf(placement -> placement.job.placement(placement.index) != placement);
+        if (result.report() != null && result.report().epoch() > machine.token()) {
+            world.emit(new Effect.Abdicate("worker " + result.host() + " has seen token " + result.report().epoch()));
+            return;
+        }
+        if (result.status() == 200 && result.report() != null) {
+            for (Placement placement : launches) {
+                placement.stage = Stage.THERE;
+            }
+            reports.absorb(machine, result.report(), false);
+        } else if (result.status() == 409 || result.status() == NOT_SENT) {
+            // Nothing was executed: the launches can go again as they are.
+            launches.forEach(this::backToReady);
+            if (result.report() != null) {
+                reports.absorb(machine, result.report(), false);
+            }
+            machine.directAgainMicros = world.nowMicros + (result.status() == 409 ? 100_000 : PAUSE_MICROS);
+        } else {
+            unanswered(machine, launches);
+        }
+    }
+
+    private void backToReady(Placement placement) {
+        if (placement.stage != Stage.SENT) {
+            return;
+        }
+        if (placement.halting) {
+            losses.gone(placement);
+        } else {
+            placement.stage = Stage.READY;
+        }
+    }
+
+    /** The launches may be executed minutes late; a raised token makes the worker refuse them from then on. */
+    private void unanswered(Machine machine, List<Placement> launches) {
+        machine.directAgainMicros = world.nowMicros + PAUSE_MICROS;
+        for (Placement placement : launches) {
+            if (placement.stage == Stage.SENT) {
+                placement.stage = Stage.UNANSWERED;
+            }
+        }
+        if (!launches.isEmpty()) {
+            machine.raiseFence();
+            machine.greet = true;
+            world.note("no answer from " + machine.host + " to " + launches.size() + " launches");
+        }
+        for (Placement placement : machine.placements()) {
+            placement.haltSentMicros = -1;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/core/machines/Losses.java
@@ -0,0 +1,46 @@
+package org.woadloom.core.machines;
+
+import org.woadloom.core.World;
+import org.woadloom.core.jobs.Placement;
+import org.woadloom.core.jobs.Recording;
+
+/** Removes placements that are proven to be gone. */
+public final class Losses {
+    private final World world;
+
+    public Losses(World world) {
+        this.world = world;
+    }
+
+    public void lost(Placement placement, String why) {
+        world.note("task " + placement.task() + " attempt " + placement.attempt + " is gone from "
+                + placement.machine.host + ": " + why);
+        gone(placement);
+    }
+
+    /** Removes a placement whose end needs no line of its own. */
+    public void gone(Placement placement) {
+        placement.job.remove(placement);
+        placement.job.recording.needs(placement.job.over() ? Recording.Need.LAUNCH : Recording.Need.OUTCOME);
+        if (placement.machine.empty()) {
+            placement.machine.idleSinceMicros = world.nowMicros;
+        }
+        world.placementWorthTrying = true;
+    }
+
+    /** Nothing is left on the machine and nothing more will come of what was sent there. */
+    public void all(Machine machine, String why) {
+        for (Placement placement : machine.snapshot()) {
+            lost(placement, why);
+        }
+    }
+
+    /** The worker's session is over; what was never sent can still be launched in the next one. */
+    public void session(Machine machine, String why) {
+        for (Placement placement : machine.snapshot()) {
+            if (!placement.neverSent()) {
+                lost(placement, why);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/core/machines/Machine.java
@@ -0,0 +1,145 @@
+package org.woadloom.core.machines;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.woadloom.core.jobs.Placement;
+import org.woadloom.core.placement.Room;
+import org.woadloom.state.MachineRecord;
+import org.woadloom.wire.MachineType;
+import org.woadloom.wire.TaskId;
+
+/** A machine as the leader knows it. */
+public final class Machine {
+    public static final int FENCE_BITS = 24;
+
+    public final String host;
+    public final String hosttype;
+    public final String yard;
+    public final boolean reclaimable;
+    private final long term;
+    private long fence;
+    public MachineType type;
+    public Room size = Room.NONE;
+    public String addr = "";
+
+    // What the worker has said.
+    public long tenure;
+    public long tick;
+    public long epochSeen;
+    public long lastHeardMicros = -1;
+    public long lastAnsweredMicros = -1;
+    /** Reports of sessions before this one are of the past: their lease is known to be over. */
+    public long leastTenure;
+    /** When the cloud takes the machine away, or -1. */
+    public long takenMicros = -1;
+
+    // The record.
+    public long stamp;
+    public boolean recorded;
+    public boolean writing;
+    public boolean reading;
+    public boolean leavingRecorded;
+    public long retryMicros;
+
+    // Its coming and going.
+    public final long knownSinceMicros;
+    public long rentedMicros;
+    public long idleSinceMicros;
+    public boolean leaving;
+    public boolean deleting;
+    public boolean deleted;
+    public boolean listedFailed;
+
+    // Direct commands.
+    public long sendInFlight;
+    public long directAgainMicros;
+    public boolean greet;
+
+    public long quarantinedUntilMicros;
+    public long fullUntilMicros;
+    public final Map<String, Long> failedJobs = new LinkedHashMap<>();
+    public final ImageCache images = new ImageCache();
+    private final Map<TaskId, Placement> placements = new LinkedHashMap<>();
+    private Room used = Room.NONE;
+
+    public Machine(MachineRecord record, long term, long nowMicros) {
+        this.host = record.host();
+        this.hosttype = record.hosttype();
+        this.yard = record.yard();
+        this.reclaimable = record.reclaimable();
+        this.leaving = record.leaving();
+        this.leavingRecorded = record.leaving();
+        this.term = term;
+        this.knownSinceMicros = nowMicros;
+        this.rentedMicros = nowMicros;
+        this.idleSinceMicros = nowMicros;
+    }
+
+    public MachineRecord toRecord() {
+        return new MachineRecord(host, hosttype, yard, reclaimable, leaving);
+    }
+
+    /** The token that this worker's commands carry now. */
+    public long token() {
+        return (term << FENCE_BITS) | fence;
+    }
+
+    /** Voids every command that was sent under the present token and has not arrived. */
+    public void raiseFence() {
+        fence++;
+    }
+
+    /** True once the worker has acknowledged a token of this term: no earlier leader can reach it any more. */
+    public boolean acknowledged() {
+        return epochSeen >> FENCE_BITS == term;
+    }
+
+    public boolean heard() {
+        return lastHeardMicros >= 0;
+    }
+
+    /** True for a worker that was in touch lately and whose lease is not known to be over. */
+    public boolean up() {
+        return acknowledged() && tenure >= leastTenure;
+    }
+
+    /** True unless a direct command went unanswered just now; launches go in answers to reports then. */
+    public boolean directWorks(long nowMicros) {
+        return nowMicros >= directAgainMicros;
+    }
+
+    public void add(Placement placement) {
+        placements.put(placement.task(), placement);
+        used = used.plus(placement.job.room);
+    }
+
+    public void remove(Placement placement) {
+        if (placements.remove(placement.task(), placement)) {
+            used = used.minus(placement.job.room);
+        }
+    }
+
+    public Collection<Placement> placements() {
+        return placements.values();
+    }
+
+    /** A copy, for loops that remove. */
+    public List<Placement> snapshot() {
+        return new ArrayList<>(placements.values());
+    }
+
+    public boolean empty() {
+        return placements.isEmpty();
+    }
+
+    public Room used() {
+        return used;
+    }
+
+    public Room free() {
+        return size.minus(used).floor();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/core/machines/MachineTable.java
@@ -0,0 +1,179 @@
+package org.woadloom.core.machines;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.woadloom.core.Command;
+import org.woadloom.core.Effect;
+import org.woadloom.core.World;
+import org.woadloom.core.placement.Room;
+import org.woadloom.state.MachineRecord;
+import org.woadloom.wire.ListedMachine;
+import org.woadloom.wire.MachineType;
+
+/** Machines as they are rented, found, recorded and deleted. */
+public final class MachineTable {
+    private static final long RETRY_MICROS = 300_000;
+    private static final long DELETE_RETRY_MICROS = 2_000_000;
+    private static final int MAX_DELETE = 100;
+
+    private final World world;
+    private final Losses losses;
+
+    public MachineTable(World world, Losses losses) {
+        this.world = world;
+        this.losses = losses;
+    }
+
+    public void load(Command.StoredMachine stored) {
+        Machine machine = create(stored.record());
+        machine.recorded = true;
+        machine.stamp = stored.stamp();
+    }
+
+    /** A machine that was rented, listed or reported; machines that nobody expected are taken over. */
+    public Machine adopt(MachineRecord record) {
+        Machine machine = world.machines.get(record.host());
+        return machine != null ? machine : create(record);
+    }
+
+    private Machine create(MachineRecord record) {
+        Machine machine = new Machine(record, world.term, world.nowMicros);
+        world.machines.put(machine.host, machine);
+        setType(machine);
+        return machine;
+    }
+
+    public void typesSeen(List<MachineType> types) {
+        for (MachineType type : types) {
+            world.types.put(type.name(), type);
+        }
+        for (Machine machine : world.machines.values()) {
+            setType(machine);
+        }
+        world.placementWorthTrying = true;
+    }
+
+    private void setType(Machine machine) {
+        machine.type = world.types.get(machine.hosttype);
+        machine.size = machine.type == null ? Room.NONE : Room.of(machine.type);
+    }
+
+    public void listed(List<ListedMachine> machines) {
+        for (ListedMachine listed : machines) {
+            Machine machine = world.machines.get(listed.uid());
+            if (machine == null) {
+                machine = adopt(new MachineRecord(listed.uid(), listed.hosttype(), listed.yard(),
+                        listed.reclaimable(), false));
+                machine.rentedMicros = world.nowMicros - listed.heldMicros();
+                world.note("machine " + machine.host + " found in the list");
+            }
+            if (listed.failed() && !machine.leaving) {
+                // A failed machine stays listed until it is deleted, and the deletion's answer is the proof we need.
+                machine.leaving = true;
+                machine.listedFailed = true;
+                world.note("machine " + machine.host + " failed");
+            }
+            if (machine.addr.isEmpty()) {
+                machine.addr = listed.addr();
+            }
+        }
+    }
+
+    public void emitWrites() {
+        List<String> delete = new ArrayList<>();
+        for (Machine machine : world.machines.values()) {
+            if (world.nowMicros < machine.retryMicros || machine.writing) {
+                continue;
+            }
+            if (machine.reading) {
+                machine.writing = true;
+                world.emit(new Effect.ReadMachine(machine.host));
+            } else if (machine.deleted) {
+                if (machine.recorded) {
+                    machine.writing = true;
+                    world.emit(new Effect.DropMachine(machine.host, machine.stamp));
+                }
+            } else if (!machine.recorded || machine.leaving != machine.leavingRecorded) {
+                machine.writing = true;
+                world.emit(new Effect.PutMachine(machine.toRecord(), machine.stamp));
+            } else if (machine.leavingRecorded && !machine.deleting && deletable(machine)
+                    && delete.size() < MAX_DELETE) {
+                machine.deleting = true;
+                delete.add(machine.host);
+            }
+        }
+        if (!delete.isEmpty()) {
+            world.note("deleting " + delete);
+            world.emit(new Effect.Delete(List.copyOf(delete)));
+        }
+    }
+
+    /** A machine that still answers is emptied first; one that is lost is deleted to get proof. */
+    private boolean deletable(Machine machine) {
+        return machine.empty() || machine.listedFailed || !machine.up()
+                || world.nowMicros - machine.lastHeardMicros > world.settings.leaseMicros() / 2;
+    }
+
+    public void written(Command.MachineWritten result) {
+        Machine machine = world.machines.get(result.host());
+        if (machine == null) {
+            return;
+        }
+        machine.writing = false;
+        switch (result.outcome()) {
+            case WRITTEN -> {
+                machine.recorded = !result.dropped();
+                machine.stamp = result.dropped() ? 0 : result.stamp();
+                machine.leavingRecorded = result.leaving();
+                world.placementWorthTrying = true;
+            }
+            case CONFLICT, UNKNOWN -> machine.reading = true;
+            case NOT_WRITTEN -> machine.retryMicros = world.nowMicros + RETRY_MICROS;
+        }
+    }
+
+    public void seen(Command.MachineSeen result) {
+        Machine machine = world.machines.get(result.host());
+        if (machine == null) {
+            return;
+        }
+        machine.writing = false;
+        machine.reading = false;
+        // Recorded or not, the present state is written again on the stamp just read: that voids a late write.
+        machine.recorded = machine.deleted && result.record() != null;
+        machine.stamp = result.record() == null ? 0 : result.stamp();
+        machine.leavingRecorded = result.record() != null && result.record().leaving();
+    }
+
+    public void unreadable(String host) {
+        Machine machine = world.machines.get(host);
+        if (machine != null) {
+            machine.writing = false;
+            machine.retryMicros = world.nowMicros + RETRY_MICROS;
+        }
+    }
+
+    public void deleted(Command.Deleted result) {
+        for (String host : result.hosts()) {
+            Machine machine = world.machines.get(host);
+            if (machine == null) {
+                continue;
+            }
+            machine.deleting = false;
+            if (result.done()) {
+                machine.deleted = true;
+                losses.all(machine, "machine deleted");
+                machine.lastHeardMicros = world.nowMicros;
+            } else {
+                machine.retryMicros = world.nowMicros + DELETE_RETRY_MICROS;
+            }
+        }
+    }
+
+    /** Forgets deleted machines once the list, which lags, can no longer show them. */
+    public void forget() {
+        long keep = 4 * world.settings.listLagMicros() + 60_000_000;
+        world.machines.values().removeIf(machine -> machine.deleted && !machine.recorded && !machine.writing
+                && world.nowMicros - machine.lastHeardMicros > keep);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/core/machines/Reports.java
@@ -0,0 +1,298 @@
+package org.woadloom.core.machines;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.woadloom.core.Command;
+import org.woadloom.core.Effect;
+import org.woadloom.core.World;
+import org.woadloom.core.jobs.Job;
+import org.woadloom.core.jobs.Placement;
+import org.woadloom.core.jobs.Placement.Stage;
+import org.woadloom.core.jobs.Recording;
+import org.woadloom.state.MachineRecord;
+import org.woadloom.wire.Order;
+import org.woadloom.wire.TaskId;
+import org.woadloom.wire.TaskReport;
+import org.woadloom.wire.WorkerReport;
+
+/** Reads what workers say, and answers their reports. */
+public final class Reports {
+    private static final int MAX_ORDERS = 400;
+    private static final long ERROR_BACKOFF_MICROS = 1_000_000;
+    private static final long MAX_BACKOFF_MICROS = 60_000_000;
+
+    private final World world;
+    private final MachineTable table;
+    private final Losses losses;
+    /** Exits that may be cleared once the job's record has reached a version. */
+    private final Map<String, Map<Exit, Long>> clearAfter = new HashMap<>();
+
+    private record Exit(TaskId task, long attempt) {
+    }
+
+    public Reports(World world, MachineTable table, Losses losses) {
+        this.world = world;
+        this.table = table;
+        this.losses = losses;
+    }
+
+    /** A report that waits for an answer. */
+    public void report(Command.Report command) {
+        WorkerReport report = command.report();
+        Machine machine = table.adopt(new MachineRecord(report.host(), report.hosttype(), report.yard(),
+                report.reclaimable(), false));
+        if (report.epoch() > machine.token()) {
+            world.emit(new Effect.Abdicate("worker " + report.host() + " has seen token " + report.epoch()));
+            return;
+        }
+        boolean current = absorb(machine, report, true);
+        // Whatever the report's age, this answer may renew the worker's lease.
+        machine.lastAnsweredMicros = world.nowMicros;
+        List<Order> orders = current && machine.acknowledged() && !machine.deleted ? orders(machine, report)
+                : List.of();
+        if (current && !machine.acknowledged()) {
+            machine.greet = true;
+        }
+        world.emit(new Effect.Answer(command.replyId(), machine.token(), orders));
+    }
+
+    /**
+     * Takes in a report, or the body of a direct command's answer.
+     *
+     * @param own true for a report of its own, which alone shows that the answer to the one before was dealt with
+     * @return false if it is older than what is known
+     */
+    public boolean absorb(Machine machine, WorkerReport report, boolean own) {
+        if (machine.deleted || report.tenure() < machine.leastTenure
+                || !report.newerThan(machine.tenure, machine.tick)) {
+            return false;
+        }
+        boolean newSession = machine.tenure > 0 && report.tenure() > machine.tenure;
+        machine.tenure = report.tenure();
+        machine.leastTenure = report.tenure();
+        machine.tick = report.tick();
+        boolean first = !machine.acknowledged();
+        machine.epochSeen = Math.max(machine.epochSeen, report.epoch());
+        if (first && machine.acknowledged()) {
+            world.placementWorthTrying = true;
+            machine.lastAnsweredMicros = Math.max(machine.lastAnsweredMicros, world.nowMicros);
+        }
+        if (machine.lastHeardMicros < 0) {
+            machine.idleSinceMicros = world.nowMicros;
+            world.note("machine " + machine.host + " is up in " + machine.yard);
+        }
+        machine.lastHeardMicros = world.nowMicros;
+        machine.addr = report.addr();
+        if (report.warningMicros() >= 0) {
+            if (machine.takenMicros < 0) {
+                world.note("machine " + machine.host + " will be taken");
+            }
+            machine.takenMicros = world.nowMicros + report.warningMicros();
+        }
+        if (newSession) {
+            newSession(machine);
+        }
+        Map<TaskId, TaskReport> listed = new LinkedHashMap<>();
+        for (TaskReport task : report.tasks()) {
+            Placement placement = placement(machine, task);
+            if (placement != null) {
+                listed.put(task.task(), task);
+            } else if (task.state() == TaskReport.State.EXITED) {
+                strangeExit(machine, task);
+            }
+        }
+        for (Placement placement : machine.snapshot()) {
+            TaskReport task = listed.get(placement.task());
+            if (task == null) {
+                notListed(placement, report, own);
+            } else if (task.state() == TaskReport.State.EXITED) {
+                exited(placement, task);
+            } else {
+                there(placement, task);
+            }
+        }
+        return true;
+    }
+
+    private void newSession(Machine machine) {
+        for (Placement placement : machine.snapshot()) {
+            // An earlier leader may still launch what it had recorded, until the worker acknowledges our token.
+            boolean mayCome = placement.stage == Stage.INHERITED && !machine.acknowledged();
+            if (!placement.neverSent() && !mayCome) {
+                losses.lost(placement, "the worker's lease ended");
+            }
+        }
+    }
+
+    private Placement placement(Machine machine, TaskReport task) {
+        Job job = world.jobs.get(task.task().uid());
+        Placement placement = job == null ? null : job.placement(task.task().index());
+        return placement != null && placement.machine == machine && placement.attempt == task.attempt() ? placement
+                : null;
+    }
+
+    private void there(Placement placement, TaskReport task) {
+        if (placement.stage != Stage.SENT) {
+            placement.stage = Stage.THERE;
+        }
+        Machine machine = placement.machine;
+        if (task.state() == TaskReport.State.RUNNING && placement.seen != TaskReport.State.RUNNING) {
+            placement.runningSinceMicros = world.nowMicros;
+            placement.job.recording.needs(Recording.Need.PHASE);
+        }
+        if (task.state() == TaskReport.State.RUNNING) {
+            machine.images.used(placement.job.description.bundle(), placement.job.description.pullGb(),
+                    machine.type == null ? 0 : machine.type.cacheGb());
+        }
+        placement.seen = task.state();
+    }
+
+    private void notListed(Placement placement, WorkerReport report, boolean own) {
+        switch (placement.stage) {
+            case THERE -> losses.lost(placement, "no longer reported");
+            case UNANSWERED -> {
+                // The worker refuses the old token from here on, so the late launch can no longer be executed.
+                if (report.epoch() > placement.sentToken) {
+                    losses.lost(placement, "the launch never arrived");
+                }
+            }
+            case ANSWERED -> {
+                // A worker has one report in flight: this one was made after the answer was executed or dropped.
+                if (own && report.tick() > placement.answeredTick) {
+                    if (placement.halting) {
+                        losses.gone(placement);
+                    } else {
+                        placement.stage = Stage.READY;
+                    }
+                }
+            }
+            case INHERITED -> {
+                if (report.epoch() >> Machine.FENCE_BITS == world.term) {
+                    losses.lost(placement, "not found by the new leader");
+                }
+            }
+            default -> {
+                // PLANNED and READY were never sent; SENT is settled by the answer to the direct command.
+            }
+        }
+    }
+
+    private void exited(Placement placement, TaskReport task) {
+        Job job = placement.job;
+        Machine machine = placement.machine;
+        boolean service = job.description.service();
+        world.debug("task " + placement.task() + " attempt " + placement.attempt + " exited on " + machine.host + ": "
+                + task.cause());
+        if (task.cause() == TaskReport.Cause.DONE && !service) {
+            job.markDone(placement.index);
+        } else if (task.cause() == TaskReport.Cause.ERROR) {
+            failed(job, machine);
+        } else if (task.cause() == TaskReport.Cause.UNKNOWN) {
+            job.notBeforeMicros = world.nowMicros + ERROR_BACKOFF_MICROS;
+        } else if (task.cause() == TaskReport.Cause.NO_ROOM || task.cause() == TaskReport.Cause.BUSY) {
+            world.note("task " + placement.task() + " refused by " + machine.host + ": " + task.cause());
+            machine.fullUntilMicros = world.nowMicros + ERROR_BACKOFF_MICROS;
+        }
+        if (!task.refused()) {
+            machine.images.used(job.description.bundle(), job.description.pullGb(),
+                    machine.type == null ? 0 : machine.type.cacheGb());
+        }
+        losses.gone(placement);
+        if (job.allDone()) {
+            job.recording.needs(Recording.Need.LAUNCH);
+        }
+        noteExit(machine, task, job.recording.nextVersion());
+    }
+
+    private void failed(Job job, Machine machine) {
+        job.failures++;
+        machine.failedJobs.put(job.uid(), world.nowMicros);
+        machine.failedJobs.values().removeIf(at -> world.nowMicros - at > 60_000_000);
+        // Failures of several jobs point at the machine, failures on several machines at the job.
+        boolean machineAtFault = machine.failedJobs.size() >= 2;
+        if (machineAtFault && machine.quarantinedUntilMicros < world.nowMicros) {
+            machine.quarantinedUntilMicros = world.nowMicros + world.settings.operator().quarantineMicros();
+            world.note("machine " + machine.host + " is quarantined: tasks of several jobs failed on it");
+        }
+        job.failedOn.add(machine.host);
+        if (job.failedOn.size() > 1) {
+            long pause = ERROR_BACKOFF_MICROS << Math.min(6, job.failures);
+            job.notBeforeMicros = world.nowMicros + Math.min(MAX_BACKOFF_MICROS, pause);
+        }
+    }
+
+    /** An exit that no placement accounts for: an earlier leader's, or one that was taken for lost. */
+    private void strangeExit(Machine machine, TaskReport task) {
+        Map<Exit, Long> known = clearAfter.get(machine.host);
+        if (known != null && known.containsKey(new Exit(task.task(), task.attempt()))) {
+            return;
+        }
+        Job job = world.jobs.get(task.task().uid());
+        int index = task.task().index();
+        if (job != null && index < job.description.shards() && task.cause() == TaskReport.Cause.DONE
+                && !job.description.service() && !job.cancelled && job.markDone(index)) {
+            Placement other = job.placement(index);
+            if (other != null && other.neverSent()) {
+                losses.gone(other);
+            } else if (other != null) {
+                other.halting = true;
+            }
+            job.recording.needs(job.allDone() ? Recording.Need.LAUNCH : Recording.Need.OUTCOME);
+            noteExit(machine, task, job.recording.nextVersion());
+        } else if (job != null) {
+            noteExit(machine, task, 0);
+        }
+    }
+
+    private void noteExit(Machine machine, TaskReport task, long version) {
+        clearAfter.computeIfAbsent(machine.host, h -> new HashMap<>())
+                .put(new Exit(task.task(), task.attempt()), version);
+    }
+
+    private List<Order> orders(Machine machine, WorkerReport report) {
+        List<Order> orders = new ArrayList<>();
+        Map<Exit, Long> exits = clearAfter.getOrDefault(machine.host, Map.of());
+        Map<Exit, Long> stillListed = new HashMap<>();
+        for (TaskReport task : report.tasks()) {
+            Job job = world.jobs.get(task.task().uid());
+            Exit exit = new Exit(task.task(), task.attempt());
+            if (task.state() == TaskReport.State.EXITED) {
+                Long version = exits.get(exit);
+                if (version != null) {
+                    stillListed.put(exit, version);
+                }
+                // A job that is no longer here has its final state in the store.
+                if (job == null || version != null && version <= job.recording.durable) {
+                    orders.add(Order.clear(task.task(), task.attempt()));
+                }
+            } else if (placement(machine, task) == null) {
+                orders.add(Order.halt(task.task(), task.attempt(), 0));
+            }
+        }
+        if (!exits.isEmpty()) {
+            clearAfter.put(machine.host, stillListed);
+        }
+        boolean direct = machine.directWorks(world.nowMicros);
+        for (Placement placement : machine.placements()) {
+            if (orders.size() >= MAX_ORDERS) {
+                break;
+            }
+            if (placement.halting && !placement.neverSent()) {
+                orders.add(Order.halt(placement.task(), placement.attempt, placement.windDownS));
+            } else if (placement.stage == Stage.READY && !direct && !placement.halting) {
+                placement.stage = Stage.ANSWERED;
+                placement.answeredTick = report.tick();
+                placement.sentToken = machine.token();
+                orders.add(Order.launch(placement.task(), placement.attempt));
+            }
+        }
+        return orders;
+    }
+
+    public void forget(String host) {
+        clearAfter.remove(host);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/core/placement/Eligibility.java
@@ -0,0 +1,48 @@
+package org.woadloom.core.placement;
+
+import org.woadloom.core.World;
+import org.woadloom.core.jobs.Job;
+import org.woadloom.core.machines.Machine;
+import org.woadloom.wire.JobDescription;
+import org.woadloom.wire.MachineType;
+
+/** Where a job's tasks are allowed at all, and which machines take new tasks now. */
+public final class Eligibility {
+    private final World world;
+
+    public Eligibility(World world) {
+        this.world = world;
+    }
+
+    /** True if a machine of this type, zone and kind may run the job's tasks, whatever its other tasks do. */
+    public boolean allows(JobDescription job, MachineType type, String yard, boolean reclaimable) {
+        return type != null && type.holds(job) && (job.hosttypes() == null || job.hosttypes().contains(type.name()))
+                && (job.yard() == null || job.yard().equals(yard)) && (!reclaimable || job.reclaimable());
+    }
+
+    public boolean allows(Job job, Machine machine) {
+        return allows(job.description, machine.type, machine.yard, machine.reclaimable)
+                && allowsYard(job, machine.yard);
+    }
+
+    /** Zone rules, given every task of the job that is or may be somewhere. */
+    public boolean allowsYard(Job job, String yard) {
+        if (job.description.samePlace() && !job.yards().isEmpty()
+                && !(job.yards().size() == 1 && job.yards().contains(yard))) {
+            return false;
+        }
+        return !job.description.apart() || job.placedIn(yard) < (job.description.shards() + 1) / 2;
+    }
+
+    /** True if the machine's worker is in touch and new tasks may go there. */
+    public boolean takesTasks(Machine machine) {
+        return machine.type != null && machine.recorded && !machine.leaving && !machine.deleted && machine.up()
+                && machine.takenMicros < 0 && machine.quarantinedUntilMicros <= world.nowMicros
+                && machine.fullUntilMicros <= world.nowMicros && !silent(machine);
+    }
+
+    /** True for a worker whose reports are overdue. */
+    public boolean silent(Machine machine) {
+        return world.nowMicros - machine.lastHeardMicros > 2 * world.settings.reportMicros() + 500_000;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/http/Response.java
@@ -0,0 +1,27 @@
+package org.woadloom.http;
+
+import com.google.common.collect.ImmutableMap;
+import java.util.Map;
+import org.woadloom.wire.Cbor;
+
+/** An answer to a request. */
+public record Response(int status, byte[] body, String contentType, int retryAfterS) {
+    private static final String CBOR = "application/cbor";
+
+    public static Response of(int status, Map<String, Object> body) {
+        return new Response(status, Cbor.encode(body), CBOR, 0);
+    }
+
+    public static Response error(int status, String text) {
+        return of(status, ImmutableMap.of("error", text));
+    }
+
+    public static Response text(String text) {
+        return new Response(200, text.getBytes(java.nio.charset.StandardCharsets.UTF_8), "text/plain", 0);
+    }
+
+    /** The service can't answer now; the sender is told when to come back. */
+    public static Response unavailable(String why) {
+        return new Response(503, Cbor.encode(ImmutableMap.of("error", why)), CBOR, 1);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/http/Router.java
@@ -0,0 +1,44 @@
+package org.woadloom.http;
+
+import java.util.function.Consumer;
+
+/** Finds what answers a request, whatever carries it. */
+public final class Router {
+    private static final String JOBS = "/v1/jobs";
+    private static final String CANCEL = "/cancel";
+
+    /** Answers the reports of workers. */
+    public interface ReportApi {
+        void report(byte[] body, Consumer<Response> answer);
+    }
+
+    private final JobApi jobs;
+    private final ReportApi reports;
+    private final java.util.function.Supplier<String> metrics;
+
+    public Router(JobApi jobs, ReportApi reports, java.util.function.Supplier<String> metrics) {
+        this.jobs = jobs;
+        this.reports = reports;
+        this.metrics = metrics;
+    }
+
+    public void handle(String method, String path, byte[] body, Consumer<Response> answer) {
+        boolean post = method.equals("POST");
+        boolean get = method.equals("GET");
+        if (post && path.equals("/v1/report")) {
+            reports.report(body, answer);
+        } else if (get && path.equals("/healthz")) {
+            answer.accept(Response.text("ok\n"));
+        } else if (post && path.equals(JOBS)) {
+            jobs.submit(body, answer);
+        } else if (get && path.startsWith(JOBS + "/")) {
+            jobs.show(path.substring(JOBS.length() + 1), answer);
+        } else if (post && path.startsWith(JOBS + "/") && path.endsWith(CANCEL)) {
+            jobs.cancel(path.substring(JOBS.length() + 1, path.length() - CANCEL.length()), answer);
+        } else if (get && path.equals("/metrics")) {
+            answer.accept(Response.text(metrics.get()));
+        } else {
+            answer.accept(Response.error(404, "no such path"));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/leader/Election.java
@@ -0,0 +1,237 @@
+package org.woadloom.leader;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.woadloom.net.Loop;
+import org.woadloom.state.Keys;
+import org.woadloom.state.StateClient;
+import org.woadloom.state.StateClient.Change;
+import org.woadloom.state.StateClient.Condition;
+import org.woadloom.state.StateClient.Result;
+import org.woadloom.state.StateClient.Urgency;
+import org.woadloom.wire.Fields;
+import org.woadloom.wire.WireException;
+
+/**
+ * Who leads. The leader key hangs on a grant that the leader renews, but that is only for liveness: safety comes from
+ * the term, which every leader takes anew, and from the key's stamp, on which all its writes are conditional. For that
+ * reason a node may take over at any time without asking whether the old leader is really gone.
+ */
+public final class Election {
+    private static final Logger LOG = LoggerFactory.getLogger(Election.class);
+    private static final long GRANT_MICROS = 4_000_000;
+    private static final long RENEW_MICROS = 1_000_000;
+    private static final long WATCH_MICROS = 10_000_000;
+    private static final long RETRY_MICROS = 250_000;
+
+    /** What the node does when leadership comes and goes. */
+    public interface Listener {
+        void elected(long term, long leaderStamp);
+
+        void deposed(String reason);
+    }
+
+    private enum Role { FOLLOWER, CANDIDATE, LEADER }
+
+    private final Loop loop;
+    private final StateClient state;
+    private final String label;
+    private final Random random;
+    private final Listener listener;
+    private Role role = Role.FOLLOWER;
+    private long term;
+    private long grant;
+    private LeaderKey current;
+    private long currentStamp;
+    private int campaign;
+
+    public Election(Loop loop, StateClient state, String label, Random random, Listener listener) {
+        this.loop = loop;
+        this.state = state;
+        this.label = label;
+        this.random = random;
+        this.listener = listener;
+    }
+
+    public void start() {
+        look();
+    }
+
+    public boolean leads() {
+        return role == Role.LEADER;
+    }
+
+    /** The label of the leader as far as known, or null. */
+    public String leader() {
+        return leads() ? label : current == null ? null : current.label();
+    }
+
+    private void look() {
+        state.get(Urgency.URGENT, Keys.LEADER, (result, entry, generation) -> {
+            if (result == Result.OK) {
+                seen(entry.value(), entry.stamp());
+                watch(entry.stamp());
+            } else if (result == Result.NOT_FOUND) {
+                seen(null, generation);
+                watch(generation);
+            } else {
+                loop.schedule(RETRY_MICROS + random.nextInt((int) RETRY_MICROS), this::look);
+            }
+        });
+    }
+
+    private void watch(long since) {
+        state.follow(Keys.LEADER, since, WATCH_MICROS, (result, events, generation) -> {
+            if (result != Result.OK) {
+                loop.schedule(RETRY_MICROS, this::look);
+                return;
+            }
+            for (StateClient.Event event : events) {
+                if (event.path().equals(Keys.LEADER)) {
+                    seen(event.value(), event.stamp());
+                }
+            }
+            watch(Math.max(since, generation));
+        });
+    }
+
+    private void seen(Map<String, Object> value, long stamp) {
+        if (stamp < currentStamp) {
+            return;
+        }
+        currentStamp = stamp;
+        LeaderKey before = current;
+        try {
+            current = value == null ? null : LeaderKey.parse(value);
+        } catch (WireException e) {
+            current = null;
+        }
+        if (current != null && !current.equals(before)) {
+            LOG.info("leader is {} in term {}", current.label(), current.term());
+        }
+        if (role == Role.LEADER && (current == null || current.term() != term)) {
+            if (current == null || current.term() > term) {
+                stepDown(current == null ? "the leader key is gone" : current.label() + " leads");
+            }
+        }
+        if (role == Role.FOLLOWER && (current == null || current.label().equals(label))) {
+            // The key names this node from before a restart, or nobody.
+            campaignSoon(current == null && before == null ? 0 : random.nextInt(30_000));
+        }
+    }
+
+    private void campaignSoon(long delayMicros) {
+        int expected = ++campaign;
+        loop.schedule(Math.max(1, delayMicros), () -> {
+            if (campaign == expected && role == Role.FOLLOWER) {
+                campaign();
+            }
+        });
+    }
+
+    /** Takes over although the leader key stands: its holder was seen to be gone. */
+    public void takeOverFrom(String gone) {
+        if (role == Role.FOLLOWER && current != null && current.label().equals(gone)) {
+            LOG.info("{} is gone, taking over", gone);
+            campaign();
+        }
+    }
+
+    private void campaign() {
+        role = Role.CANDIDATE;
+        state.grant(GRANT_MICROS, (result, granted) -> {
+            if (result != Result.OK) {
+                failed();
+                return;
+            }
+            grant = granted;
+            state.get(Urgency.URGENT, Keys.TERM, (read, entry, generation) -> {
+                try {
+                    if (read == Result.OK) {
+                        take(new Fields(entry.value()).integer("term") + 1, entry.stamp());
+                    } else if (read == Result.NOT_FOUND) {
+                        take(1, 0);
+                    } else {
+                        failed();
+                    }
+                } catch (WireException e) {
+                    LOG.error("the term record can't be read: {}", e.getMessage());
+                    failed();
+                }
+            });
+        });
+    }
+
+    private void take(long newTerm, long termStamp) {
+        long leaderStamp = current == null ? 0 : currentStamp;
+        Map<String, Object> termValue = new LinkedHashMap<>();
+        termValue.put("term", newTerm);
+        state.txn(Urgency.URGENT, List.of(new Condition(Keys.LEADER, leaderStamp),
+                new Condition(Keys.TERM, termStamp)),
+                List.of(new Change(Keys.LEADER, new LeaderKey(label, newTerm).toMap(), grant),
+                        Change.put(Keys.TERM, termValue)), (result, generation, conflicts) -> {
+                    if (result == Result.OK) {
+                        won(newTerm, generation);
+                    } else {
+                        // Whatever became of it: a later campaign takes a higher term.
+                        failed();
+                    }
+                });
+    }
+
+    private void failed() {
+        role = Role.FOLLOWER;
+        long pause = RETRY_MICROS + random.nextInt((int) RETRY_MICROS);
+        loop.schedule(pause, () -> state.get(Urgency.URGENT, Keys.LEADER, (result, entry, generation) -> {
+            if (result == Result.OK) {
+                seen(entry.value(), entry.stamp());
+            } else if (result == Result.NOT_FOUND) {
+                seen(null, generation);
+            } else if (role == Role.FOLLOWER) {
+                failed();
+            }
+        }));
+    }
+
+    private void won(long newTerm, long stamp) {
+        role = Role.LEADER;
+        term = newTerm;
+        current = new LeaderKey(label, newTerm);
+        currentStamp = stamp;
+        LOG.info("elected in term {}", newTerm);
+        renewLater(newTerm);
+        listener.elected(newTerm, stamp);
+    }
+
+    private void renewLater(long ofTerm) {
+        loop.schedule(RENEW_MICROS, () -> {
+            if (role != Role.LEADER || term != ofTerm) {
+                return;
+            }
+            state.renew(grant, (result, id) -> {
+                if (result == Result.NOT_FOUND && role == Role.LEADER && term == ofTerm) {
+                    stepDown("the grant has ended");
+                }
+            });
+            renewLater(ofTerm);
+        });
+    }
+
+    /** Leads no more, for a reason that the node has seen elsewhere. */
+    public void stepDown(String reason) {
+        if (role != Role.LEADER) {
+            return;
+        }
+        LOG.info("leading no more: {}", reason);
+        role = Role.FOLLOWER;
+        if (current != null && current.term() == term) {
+            current = null;
+        }
+        listener.deposed(reason);
+        failed();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/leader/RecordWriter.java
@@ -0,0 +1,127 @@
+package org.woadloom.leader;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.woadloom.core.Command.WriteOutcome;
+import org.woadloom.state.Keys;
+import org.woadloom.state.StateClient;
+import org.woadloom.state.StateClient.Change;
+import org.woadloom.state.StateClient.Condition;
+import org.woadloom.state.StateClient.Urgency;
+import org.woadloom.wire.Cbor;
+
+/**
+ * Writes a leader's records. Every transaction is conditional on the leader key's stamp, so that whatever arrives after
+ * another node has taken over can only fail, and on the stamp of each record it changes.
+ */
+public final class RecordWriter {
+    private static final int MAX_BYTES = 56 * 1024;
+
+    /** One record's write: conditions and changes that belong together. */
+    public record Write(List<Condition> conditions, List<Change> changes, Outcome callback) {
+        int size() {
+            int size = 0;
+            for (Change change : changes) {
+                size += 260 + Cbor.jsonSize(change.value());
+            }
+            return size;
+        }
+    }
+
+    public interface Outcome {
+        void written(WriteOutcome outcome, long stamp);
+    }
+
+    private final StateClient state;
+    private final int txnOps;
+    private final long leaderStamp;
+    private final Runnable deposed;
+    private final List<Write> urgent = new ArrayList<>();
+    private final List<Write> normal = new ArrayList<>();
+
+    public RecordWriter(StateClient state, int txnOps, long leaderStamp, Runnable deposed) {
+        this.state = state;
+        this.txnOps = txnOps;
+        this.leaderStamp = leaderStamp;
+        this.deposed = deposed;
+    }
+
+    public void add(boolean isUrgent, Write write) {
+        (isUrgent ? urgent : normal).add(write);
+    }
+
+    /** Sends what was added, in as few transactions as the limits allow. */
+    public void flush() {
+        send(Urgency.URGENT, urgent);
+        send(Urgency.NORMAL, normal);
+    }
+
+    private void send(Urgency urgency, List<Write> writes) {
+        List<Write> batch = new ArrayList<>();
+        int ops = 0;
+        int bytes = 0;
+        for (Write write : writes) {
+            int size = write.size();
+            if (!batch.isEmpty() && (ops + write.changes.size() > txnOps || bytes + size > MAX_BYTES)) {
+                transact(urgency, batch);
+                batch = new ArrayList<>();
+                ops = 0;
+                bytes = 0;
+            }
+            batch.add(write);
+            ops += write.changes.size();
+            bytes += size;
+        }
+        writes.clear();
+        if (!batch.isEmpty()) {
+            transact(urgency, batch);
+        }
+    }
+
+    private void transact(Urgency urgency, List<Write> batch) {
+        List<Condition> conditions = new ArrayList<>();
+        List<Change> changes = new ArrayList<>();
+        conditions.add(new Condition(Keys.LEADER, leaderStamp));
+        for (Write write : batch) {
+            conditions.addAll(write.conditions);
+            changes.addAll(write.changes);
+        }
+        state.txn(urgency, conditions, changes, (result, generation, failed) -> {
+            switch (result) {
+                case OK -> batch.forEach(write -> write.callback.written(WriteOutcome.WRITTEN, generation));
+                case CONFLICT -> conflict(urgency, batch, failed);
+                case UNAVAILABLE, NOT_FOUND -> batch.forEach(
+                        write -> write.callback.written(WriteOutcome.NOT_WRITTEN, 0));
+                case BAD, UNKNOWN -> batch.forEach(write -> write.callback.written(WriteOutcome.UNKNOWN, 0));
+            }
+        });
+    }
+
+    private void conflict(Urgency urgency, List<Write> batch, List<String> failed) {
+        if (failed.contains(Keys.LEADER)) {
+            deposed.run();
+            return;
+        }
+        List<Write> again = new ArrayList<>();
+        for (Write write : batch) {
+            boolean mine = write.conditions.stream().anyMatch(condition -> failed.contains(condition.path()));
+            if (mine) {
+                write.callback.written(WriteOutcome.CONFLICT, 0);
+            } else {
+                again.add(write);
+            }
+        }
+        // One record's conflict must not hold up the others of the transaction.
+        if (again.size() < batch.size()) {
+            send(urgency, again);
+        } else {
+            batch.forEach(write -> write.callback.written(WriteOutcome.UNKNOWN, 0));
+        }
+    }
+
+    /** A put of one key on condition of its stamp. */
+    public static Write put(String key, Map<String, Object> value, long stamp, Outcome callback) {
+        return new Write(List.of(new Condition(key, stamp)), List.of(Change.put(key, value)), callback);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/net/XnioLoop.java
@@ -0,0 +1,51 @@
+package org.woadloom.net;
+
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+
+/**
+ * The loop on XNIO's single I/O thread. The machine has a fifth of a core, so a second thread would add switches and
+ * no speed.
+ */
+public final class XnioLoop implements Loop {
+    private static final Logger LOG = LoggerFactory.getLogger(XnioLoop.class);
+    private final XnioIoThread thread;
+
+    public XnioLoop(XnioIoThread thread) {
+        this.thread = thread;
+    }
+
+    @Override
+    public long nowMicros() {
+        return System.nanoTime() / 1000;
+    }
+
+    @Override
+    public long wallMicros() {
+        return System.currentTimeMillis() * 1000;
+    }
+
+    @Override
+    public void execute(Runnable task) {
+        thread.execute(() -> run(task));
+    }
+
+    @Override
+    public Timer schedule(long delayMicros, Runnable task) {
+        XnioExecutor.Key key = thread.executeAfter(() -> run(task), Math.max(1, (delayMicros + 999) / 1000),
+                TimeUnit.MILLISECONDS);
+        return key::remove;
+    }
+
+    private static void run(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            // A fault in one task must not end the thread that carries the leases of every worker.
+            LOG.error("task failed", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/node/LeaderDuties.java
@@ -0,0 +1,339 @@
+package org.woadloom.node;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.woadloom.cloud.CloudClient;
+import org.woadloom.core.Command;
+import org.woadloom.core.Command.WriteOutcome;
+import org.woadloom.core.Effect;
+import org.woadloom.leader.RecordWriter;
+import org.woadloom.net.Loop;
+import org.woadloom.settings.ServiceSettings;
+import org.woadloom.state.JobRecord;
+import org.woadloom.state.Keys;
+import org.woadloom.state.MachineRecord;
+import org.woadloom.state.StateClient;
+import org.woadloom.state.StateClient.Change;
+import org.woadloom.state.StateClient.Condition;
+import org.woadloom.state.StateClient.Result;
+import org.woadloom.state.StateClient.Urgency;
+import org.woadloom.wire.WireException;
+import org.woadloom.wire.WorkerReport;
+import org.woadloom.worker.WorkerClient;
+
+/** What a node does while it leads: loads the records, feeds the core and carries out its effects. */
+final class LeaderDuties {
+    private static final Logger LOG = LoggerFactory.getLogger(LeaderDuties.class);
+    private static final long TICK_MICROS = 100_000;
+    private static final long RETRY_MICROS = 300_000;
+    private static final long WATCH_MICROS = 10_000_000;
+    private static final long MIN_LIST_MICROS = 2_000_000;
+
+    /** Takes the answer to a worker's report. */
+    interface ReportAnswer {
+        void answer(Effect.Answer answer);
+    }
+
+    private final Loop loop;
+    private final StateClient state;
+    private final CloudClient cloud;
+    private final WorkerClient workers;
+    private final ServiceSettings settings;
+    private final java.util.function.Consumer<String> abdicate;
+    private CommandQueue queue;
+    private long term;
+    private RecordWriter writer;
+    private final Map<Long, ReportAnswer> answers = new HashMap<>();
+    private long replies;
+
+    LeaderDuties(Loop loop, StateClient state, CloudClient cloud, WorkerClient workers, ServiceSettings settings,
+            java.util.function.Consumer<String> abdicate) {
+        this.loop = loop;
+        this.state = state;
+        this.cloud = cloud;
+        this.workers = workers;
+        this.settings = settings;
+        this.abdicate = abdicate;
+    }
+
+    void attach(CommandQueue commands) {
+        queue = commands;
+    }
+
+    /** True once the records are read: only then may a report be decided. */
+    boolean ready() {
+        return writer != null;
+    }
+
+    void begin(long newTerm, long leaderStamp) {
+        term = newTerm;
+        writer = null;
+        loadMachines(newTerm, leaderStamp);
+    }
+
+    void end() {
+        term = 0;
+        writer = null;
+        // The workers turn to another node at once instead of waiting for an answer.
+        List<ReportAnswer> unanswered = new ArrayList<>(answers.values());
+        answers.clear();
+        unanswered.forEach(answer -> answer.answer(null));
+        queue.offer(new Command.StepDown());
+    }
+
+    void report(WorkerReport report, ReportAnswer answer) {
+        long id = ++replies;
+        answers.put(id, answer);
+        if (!queue.offer(new Command.Report(id, report))) {
+            answers.remove(id);
+            answer.answer(null);
+        }
+    }
+
+    private void loadMachines(long ofTerm, long leaderStamp) {
+        state.list(Urgency.URGENT, Keys.MACHINES, (result, entries, generation) -> {
+            if (term != ofTerm) {
+                return;
+            }
+            if (result != Result.OK) {
+                loop.schedule(RETRY_MICROS, () -> again(ofTerm, () -> loadMachines(ofTerm, leaderStamp)));
+                return;
+            }
+            List<Command.StoredMachine> machines = new ArrayList<>();
+            for (StateClient.Entry entry : entries) {
+                try {
+                    String host = entry.path().substring(Keys.MACHINES.length());
+                    machines.add(new Command.StoredMachine(MachineRecord.parse(host, entry.value()), entry.stamp()));
+                } catch (WireException e) {
+                    LOG.error("record {} can't be read: {}", entry.path(), e.getMessage());
+                }
+            }
+            loadJobs(ofTerm, leaderStamp, machines);
+        });
+    }
+
+    private void again(long ofTerm, Runnable step) {
+        if (term == ofTerm) {
+            step.run();
+        }
+    }
+
+    private void loadJobs(long ofTerm, long leaderStamp, List<Command.StoredMachine> machines) {
+        state.list(Urgency.URGENT, Keys.JOBS, (result, entries, generation) -> {
+            if (term != ofTerm) {
+                return;
+            }
+            if (result != Result.OK) {
+                loop.schedule(RETRY_MICROS, () -> again(ofTerm, () -> loadJobs(ofTerm, leaderStamp, machines)));
+                return;
+            }
+            List<Command.StoredJob> jobs = new ArrayList<>();
+            for (StateClient.Entry entry : entries) {
+                try {
+                    jobs.add(new Command.StoredJob(JobRecord.parse(entry.value()), entry.stamp()));
+                } catch (WireException e) {
+                    LOG.error("record {} can't be read: {}", entry.path(), e.getMessage());
+                }
+            }
+            writer = new RecordWriter(state, settings.state().txnOps(), leaderStamp,
+                    () -> again(ofTerm, () -> abdicate.accept("another node took over")));
+            queue.offer(new Command.Lead(ofTerm, jobs, machines));
+            followJobs(ofTerm, generation);
+            tick(ofTerm);
+            pollTypes(ofTerm);
+            pollList(ofTerm);
+        });
+    }
+
+    private void followJobs(long ofTerm, long since) {
+        state.follow(Keys.JOBS, since, WATCH_MICROS, (result, events, generation) -> {
+            if (term != ofTerm) {
+                return;
+            }
+            if (result == Result.OK) {
+                for (StateClient.Event event : events) {
+                    if (event.value() != null) {
+                        jobSeen(event.path(), event.value(), event.stamp());
+                    }
+                }
+                followJobs(ofTerm, Math.max(since, generation));
+            } else if (result == Result.NOT_FOUND) {
+                rereadJobs(ofTerm);
+            } else {
+                loop.schedule(RETRY_MICROS, () -> again(ofTerm, () -> followJobs(ofTerm, since)));
+            }
+        });
+    }
+
+    /** The watch fell too far behind: everything is read again. */
+    private void rereadJobs(long ofTerm) {
+        state.list(Urgency.NORMAL, Keys.JOBS, (result, entries, generation) -> {
+            if (term != ofTerm) {
+                return;
+            }
+            if (result != Result.OK) {
+                loop.schedule(RETRY_MICROS, () -> again(ofTerm, () -> rereadJobs(ofTerm)));
+                return;
+            }
+            for (StateClient.Entry entry : entries) {
+                jobSeen(entry.path(), entry.value(), entry.stamp());
+            }
+            followJobs(ofTerm, generation);
+        });
+    }
+
+    private void jobSeen(String path, Map<String, Object> value, long stamp) {
+        try {
+            queue.offer(new Command.JobSeen(JobRecord.parse(value), stamp));
+        } catch (WireException e) {
+            LOG.error("record {} can't be read: {}", path, e.getMessage());
+        }
+    }
+
+    private void tick(long ofTerm) {
+        loop.schedule(TICK_MICROS, () -> again(ofTerm, () -> {
+            queue.offer(new Command.Tick());
+            tick(ofTerm);
+        }));
+    }
+
+    private void pollTypes(long ofTerm) {
+        cloud.types(types -> again(ofTerm, () -> {
+            if (types != null) {
+                queue.offer(new Command.TypesSeen(types));
+            }
+            loop.schedule(types == null ? 3_000_000 : 60_000_000, () -> again(ofTerm, () -> pollTypes(ofTerm)));
+        }));
+    }
+
+    private void pollList(long ofTerm) {
+        cloud.list(machines -> again(ofTerm, () -> {
+            if (machines != null) {
+                queue.offer(new Command.MachinesListed(machines));
+            }
+            long pause = Math.max(MIN_LIST_MICROS, settings.cloud().listLagMicros() / 2);
+            loop.schedule(pause, () -> again(ofTerm, () -> pollList(ofTerm)));
+        }));
+    }
+
+    void execute(List<Effect> effects) {
+        for (Effect effect : effects) {
+            if (writer == null) {
+                return;
+            }
+            execute(effect);
+        }
+        if (writer != null) {
+            writer.flush();
+        }
+    }
+
+    private void execute(Effect effect) {
+        if (effect instanceof Effect.Answer answer) {
+            ReportAnswer waiting = answers.remove(answer.replyId());
+            if (waiting != null) {
+                waiting.answer(answer);
+            }
+        } else if (effect instanceof Effect.SendDirect send) {
+            long ofTerm = term;
+            workers.send(send, result -> again(ofTerm, () -> queue.offer(result)));
+        } else if (effect instanceof Effect.PutJob put) {
+            putJob(put);
+        } else if (effect instanceof Effect.FinishJob finish) {
+            finishJob(finish);
+        } else if (effect instanceof Effect.ReadJob read) {
+            readJob(read.uid());
+        } else if (effect instanceof Effect.PutMachine put) {
+            putMachine(put);
+        } else if (effect instanceof Effect.DropMachine drop) {
+            dropMachine(drop);
+        } else if (effect instanceof Effect.ReadMachine read) {
+            readMachine(read.host());
+        } else if (effect instanceof Effect.Rent rent) {
+            long ofTerm = term;
+            cloud.rent(rent, (outcome, hosts) -> again(ofTerm,
+                    () -> queue.offer(new Command.Rented(rent.claim(), outcome, hosts))));
+        } else if (effect instanceof Effect.Delete delete) {
+            long ofTerm = term;
+            cloud.delete(delete.hosts(), done -> again(ofTerm,
+                    () -> queue.offer(new Command.Deleted(delete.hosts(), done))));
+        } else if (effect instanceof Effect.Abdicate away) {
+            abdicate.accept(away.reason());
+        } else if (effect instanceof Effect.Note note) {
+            if (note.debug()) {
+                LOG.debug(note.text());
+            } else {
+                LOG.info(note.text());
+            }
+        }
+    }
+
+    private void putJob(Effect.PutJob put) {
+        long ofTerm = term;
+        String uid = put.record().description().uid();
+        writer.add(put.urgent(), RecordWriter.put(Keys.job(uid), put.record().toMap(), put.stamp(),
+                (outcome, stamp) -> again(ofTerm, () -> queue.offer(
+                        new Command.JobWritten(uid, put.record().version(), outcome, stamp)))));
+    }
+
+    private void finishJob(Effect.FinishJob finish) {
+        long ofTerm = term;
+        String uid = finish.record().uid();
+        writer.add(true, new RecordWriter.Write(
+                List.of(new Condition(Keys.job(uid), finish.stamp())),
+                List.of(Change.put(Keys.finalState(uid), finish.record().toMap()), Change.drop(Keys.job(uid))),
+                (outcome, stamp) -> again(ofTerm, () -> queue.offer(
+                        new Command.JobWritten(uid, finish.version(), outcome, stamp)))));
+    }
+
+    private void readJob(String uid) {
+        long ofTerm = term;
+        state.get(Urgency.URGENT, Keys.job(uid), (result, entry, generation) -> again(ofTerm, () -> {
+            if (result == Result.OK) {
+                jobSeen(entry.path(), entry.value(), entry.stamp());
+            } else if (result == Result.NOT_FOUND) {
+                queue.offer(new Command.JobMissing(uid));
+            } else {
+                queue.offer(new Command.JobUnreadable(uid));
+            }
+        }));
+    }
+
+    private void putMachine(Effect.PutMachine put) {
+        long ofTerm = term;
+        String host = put.record().host();
+        writer.add(true, RecordWriter.put(Keys.machine(host), put.record().toMap(), put.stamp(),
+                (outcome, stamp) -> again(ofTerm, () -> queue.offer(
+                        new Command.MachineWritten(host, put.record().leaving(), false, outcome, stamp)))));
+    }
+
+    private void dropMachine(Effect.DropMachine drop) {
+        long ofTerm = term;
+        writer.add(false, new RecordWriter.Write(
+                List.of(new Condition(Keys.machine(drop.host()), drop.stamp())),
+                List.of(Change.drop(Keys.machine(drop.host()))),
+                (outcome, stamp) -> again(ofTerm, () -> queue.offer(
+                        new Command.MachineWritten(drop.host(), true, true, outcome, stamp)))));
+    }
+
+    private void readMachine(String host) {
+        long ofTerm = term;
+        state.get(Urgency.NORMAL, Keys.machine(host), (result, entry, generation) -> again(ofTerm, () -> {
+            try {
+                if (result == Result.OK) {
+                    queue.offer(new Command.MachineSeen(host, MachineRecord.parse(host, entry.value()), entry.stamp()));
+                } else if (result == Result.NOT_FOUND) {
+                    queue.offer(new Command.MachineSeen(host, null, 0));
+                } else {
+                    queue.offer(new Command.MachineUnreadable(host));
+                }
+            } catch (WireException e) {
+                queue.offer(new Command.MachineUnreadable(host));
+            }
+        }));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/node/Server.java
@@ -0,0 +1,49 @@
+package org.woadloom.node;
+
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Random;
+import org.woadloom.http.ApiServer;
+import org.woadloom.net.UndertowTransport;
+import org.woadloom.net.XnioLoop;
+import org.woadloom.settings.OperatorSettings;
+import org.woadloom.settings.ServiceSettings;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+
+/** A node with its sockets: one XNIO worker with one I/O thread carries everything. */
+public final class Server {
+    private static final int BUFFER_BYTES = 8 * 1024;
+
+    private Server() {
+    }
+
+    public static Node start(ServiceSettings settings, OperatorSettings operator) throws IOException {
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder()
+                .set(Options.WORKER_NAME, "woadloom")
+                .set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                .getMap());
+        XnioIoThread thread = worker.getIoThread();
+        ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, 256, 4);
+        XnioLoop loop = new XnioLoop(thread);
+        UndertowTransport transport = new UndertowTransport(loop, thread, buffers);
+        Random random = new Random(System.nanoTime() ^ settings.label().hashCode());
+        Node node = new Node(loop, transport, settings, operator, random);
+        int maxConnections = settings.resources().fdLimit() * 7 / 10;
+        new ApiServer(address(settings.bind()), worker, buffers, maxConnections, node.router()).start();
+        loop.execute(node::start);
+        return node;
+    }
+
+    private static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/settings/Section.java
@@ -0,0 +1,107 @@
+package org.woadloom.settings;
+
+import com.electronwill.nightconfig.core.Config;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Checked access to one table of a TOML file; every error names file and key. */
+final class Section {
+    private final String file;
+    private final String path;
+    private final Config config;
+
+    Section(String file, String path, Config config) {
+        this.file = file;
+        this.path = path;
+        this.config = config;
+    }
+
+    SettingsException error(String key, String expected) {
+        return new SettingsException(file + ": " + path + key + ": expected " + expected);
+    }
+
+    Section table(String key) throws SettingsException {
+        if (value(key) instanceof Config table) {
+            return new Section(file, path + key + ".", table);
+        }
+        throw error(key, "a table");
+    }
+
+    List<Section> tables(String key) throws SettingsException {
+        List<Section> result = new ArrayList<>();
+        Object value = value(key);
+        if (value == null) {
+            return result;
+        }
+        if (!(value instanceof List<?> list)) {
+            throw error(key, "a list of tables");
+        }
+        for (int i = 0; i < list.size(); i++) {
+            if (!(list.get(i) instanceof Config table)) {
+                throw error(key, "a list of tables");
+            }
+            result.add(new Section(file, path + key + "[" + i + "].", table));
+        }
+        return result;
+    }
+
+    String text(String key) throws SettingsException {
+        if (value(key) instanceof String text && !text.isEmpty()) {
+            return text;
+        }
+        throw error(key, "text");
+    }
+
+    String textOr(String key, String otherwise) throws SettingsException {
+        return value(key) == null ? otherwise : text(key);
+    }
+
+    /** An address such as 10.0.0.1:8080. */
+    String address(String key) throws SettingsException {
+        String text = text(key);
+        int colon = text.lastIndexOf(':');
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (colon > 0 && port > 0 && port < 65536) {
+                return text;
+            }
+        } catch (NumberFormatException e) {
+            // reported below
+        }
+        throw error(key, "an address such as 10.0.0.1:8080");
+    }
+
+    double number(String key, double least) throws SettingsException {
+        if (value(key) instanceof Number number && number.doubleValue() >= least
+                && Double.isFinite(number.doubleValue())) {
+            return number.doubleValue();
+        }
+        throw error(key, "a number of at least " + least);
+    }
+
+    double numberOr(String key, double least, double otherwise) throws SettingsException {
+        return value(key) == null ? otherwise : number(key, least);
+    }
+
+    long micros(String key, double leastSeconds) throws SettingsException {
+        return Math.round(number(key, leastSeconds) * 1e6);
+    }
+
+    List<String> texts(String key) throws SettingsException {
+        List<String> result = new ArrayList<>();
+        if (!(value(key) instanceof List<?> list)) {
+            throw error(key, "a list of texts");
+        }
+        for (Object item : list) {
+            if (!(item instanceof String text)) {
+                throw error(key, "a list of texts");
+            }
+            result.add(text);
+        }
+        return result;
+    }
+
+    private Object value(String key) {
+        return config.get(List.of(key));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/state/Budget.java
@@ -0,0 +1,34 @@
+package org.woadloom.state;
+
+/** A token bucket that holds one second's worth, as the services' own limits do. */
+public final class Budget {
+    private final double perMicro;
+    private final double capacity;
+    private double tokens;
+    private long lastMicros = Long.MIN_VALUE;
+
+    public Budget(double perSecond) {
+        this.perMicro = perSecond / 1e6;
+        this.capacity = Math.max(1, perSecond);
+        this.tokens = capacity;
+    }
+
+    private void refill(long now) {
+        if (lastMicros != Long.MIN_VALUE && now > lastMicros) {
+            tokens = Math.min(capacity, tokens + (now - lastMicros) * perMicro);
+        }
+        lastMicros = Math.max(lastMicros, now);
+    }
+
+    /** How long until the given number may be taken; something larger than the bucket waits for a full one. */
+    public long waitMicros(long now, int count) {
+        refill(now);
+        double missing = Math.min(count, capacity) - tokens;
+        return missing <= 1e-9 ? 0 : Math.max(1, (long) Math.ceil(missing / perMicro));
+    }
+
+    public void take(long now, int count) {
+        refill(now);
+        tokens -= count;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/state/FinalRecord.java
@@ -0,0 +1,26 @@
+package org.woadloom.state;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.woadloom.wire.Fields;
+import org.woadloom.wire.JobStatus;
+import org.woadloom.wire.WireException;
+
+/** What is kept of a job for ever once it is over and none of its tasks can be on a machine. */
+public record FinalRecord(String uid, boolean cancelled, int done) {
+    public JobStatus status() {
+        return new JobStatus(uid, cancelled ? "cancelled" : "done", done, 0);
+    }
+
+    public Map<String, Object> toMap() {
+        Map<String, Object> map = new LinkedHashMap<>();
+        map.put("status", cancelled ? "cancelled" : "done");
+        map.put("done", (long) done);
+        return map;
+    }
+
+    public static FinalRecord parse(String uid, Map<String, Object> map) throws WireException {
+        Fields f = new Fields(map);
+        return new FinalRecord(uid, f.text("status").equals("cancelled"), (int) f.integerOr("done", 0));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/state/Keys.java
@@ -0,0 +1,29 @@
+package org.woadloom.state;
+
+/** The keys in the state service. */
+public final class Keys {
+    /** Who leads; attached to the leader's grant, so that it goes when the leader stops renewing. */
+    public static final String LEADER = "leader";
+    /** The highest term ever taken; on no grant, so it never goes back. */
+    public static final String TERM = "term";
+    /** The machine types as the cloud last gave them, for a start while the cloud is down. */
+    public static final String TYPES = "types";
+    public static final String JOBS = "job/";
+    public static final String FINALS = "final/";
+    public static final String MACHINES = "machine/";
+
+    private Keys() {
+    }
+
+    public static String job(String uid) {
+        return JOBS + uid;
+    }
+
+    public static String finalState(String uid) {
+        return FINALS + uid;
+    }
+
+    public static String machine(String host) {
+        return MACHINES + host;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/state/StateClient.java
@@ -0,0 +1,367 @@
+package org.woadloom.state;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.woadloom.net.HttpTransport;
+import org.woadloom.net.Loop;
+import org.woadloom.settings.ServiceSettings;
+import org.woadloom.wire.Cbor;
+import org.woadloom.wire.Fields;
+import org.woadloom.wire.WireException;
+
+/**
+ * The state service's protocol. Requests wait in three queues by urgency, under a budget that stays below the
+ * service's limits; a 429 or 503 holds everything but the most urgent back for a moment, with jitter.
+ */
+public final class StateClient {
+    /** Requests of a lower urgency wait while one of a higher is queued. */
+    public enum Urgency { URGENT, NORMAL, BACKGROUND }
+
+    public enum Result { OK, NOT_FOUND, CONFLICT, BAD, UNAVAILABLE, UNKNOWN }
+
+    /** One key with its value and the stamp of its last change. */
+    public record Entry(String path, Map<String, Object> value, long stamp) {
+    }
+
+    /** A condition of a transaction: the key's stamp, 0 where it must not exist. */
+    public record Condition(String path, long stamp) {
+    }
+
+    /** A change of a transaction: a put, or a drop where the value is null. */
+    public record Change(String path, Map<String, Object> value, long grant) {
+        public static Change put(String path, Map<String, Object> value) {
+            return new Change(path, value, 0);
+        }
+
+        public static Change drop(String path) {
+            return new Change(path, null, 0);
+        }
+
+        Map<String, Object> toMap() {
+            Map<String, Object> map = new LinkedHashMap<>();
+            if (value == null) {
+                map.put("drop", path);
+            } else {
+                map.put("put", path);
+                map.put("value", value);
+                if (grant != 0) {
+                    map.put("hold", grant);
+                }
+            }
+            return map;
+        }
+    }
+
+    /** An event of a watch; the value is null where the key was dropped. */
+    public record Event(String path, Map<String, Object> value, long stamp) {
+    }
+
+    public interface EntryCallback {
+        void read(Result result, Entry entry, long generation);
+    }
+
+    public interface ListCallback {
+        void read(Result result, List<Entry> entries, long generation);
+    }
+
+    public interface TxnCallback {
+        void done(Result result, long generation, List<String> failed);
+    }
+
+    public interface FollowCallback {
+        /** {@code NOT_FOUND} says that {@code since} is too old. */
+        void events(Result result, List<Event> events, long generation);
+    }
+
+    public interface GrantCallback {
+        void granted(Result result, long grant);
+    }
+
+    private static final int MAX_IN_FLIGHT = 12;
+    private static final int MAX_QUEUED = 2_000;
+    private static final long TIMEOUT_MICROS = 2_000_000;
+    // Three nodes share the service's limits, and most of the work is the leader's.
+    private static final double SHARE_OF_LIMIT = 0.6;
+
+    private final Loop loop;
+    private final HttpTransport transport;
+    private final Random random;
+    private final String address;
+    private final Budget requests;
+    private final Budget writes;
+    private final EnumMap<Urgency, ArrayDeque<Pending>> queues = new EnumMap<>(Urgency.class);
+    private int inFlight;
+    private long heldUntilMicros;
+    private boolean wakeScheduled;
+    private long lastAnswerMicros;
+    private long troubles;
+
+    private record Pending(String method, String path, byte[] body, int writeCount, long timeoutMicros,
+            HttpTransport.Callback callback) {
+    }
+
+    public StateClient(Loop loop, HttpTransport transport, ServiceSettings settings, Random random) {
+        this.loop = loop;
+        this.transport = transport;
+        this.random = random;
+        this.address = settings.stateAddress();
+        this.requests = new Budget(settings.state().rps() * SHARE_OF_LIMIT);
+        this.writes = new Budget(settings.state().writeRps() * SHARE_OF_LIMIT);
+        for (Urgency urgency : Urgency.values()) {
+            queues.put(urgency, new ArrayDeque<>());
+        }
+    }
+
+    /** When the state service last answered with anything but 503, on the steady clock; 0 for never. */
+    public long lastAnswerMicros() {
+        return lastAnswerMicros;
+    }
+
+    /** Answers of the kind 429 or 503, or none at all, counted for the metrics. */
+    public long troubles() {
+        return troubles;
+    }
+
+    public void get(Urgency urgency, String key, EntryCallback callback) {
+        submit(urgency, new Pending("GET", "/keys/" + key, null, 0, TIMEOUT_MICROS, (status, body) -> {
+            if (status == 200) {
+                parsed(body, map -> callback.read(Result.OK, entry(map), 0),
+                        () -> callback.read(Result.UNKNOWN, null, 0));
+            } else if (status == 404) {
+                parsed(body, map -> callback.read(Result.NOT_FOUND, null, new Fields(map).integer("generation")),
+                        () -> callback.read(Result.UNKNOWN, null, 0));
+            } else {
+                callback.read(failure(status), null, 0);
+            }
+        }));
+    }
+
+    /** Reads all keys with the prefix, page by page; the generation is that of the first page. */
+    public void list(Urgency urgency, String prefix, ListCallback callback) {
+        listPage(urgency, prefix, null, new ArrayList<>(), -1, callback);
+    }
+
+    private void listPage(Urgency urgency, String prefix, String since, List<Entry> found, long generation,
+            ListCallback callback) {
+        String path = "/keys?prefix=" + prefix + (since == null ? "" : "&since=" + since) + "&most=200";
+        submit(urgency, new Pending("GET", path, null, 0, TIMEOUT_MICROS * 2, (status, body) -> {
+            if (status != 200) {
+                callback.read(failure(status), List.of(), 0);
+                return;
+            }
+            parsed(body, map -> {
+                Fields f = new Fields(map);
+                for (Object item : f.list("items")) {
+                    found.add(entry(itemMap(item)));
+                }
+                // Changes made after the first page are seen by following from its generation.
+                long first = generation < 0 ? f.integer("generation") : generation;
+                if (f.flagOr("more", false) && !found.isEmpty()) {
+                    listPage(urgency, prefix, found.get(found.size() - 1).path(), found, first, callback);
+                } else {
+                    callback.read(Result.OK, found, first);
+                }
+            }, () -> callback.read(Result.UNKNOWN, List.of(), 0));
+        }));
+    }
+
+    public void txn(Urgency urgency, List<Condition> conditions, List<Change> changes, TxnCallback callback) {
+        List<Object> ifs = new ArrayList<>();
+        for (Condition condition : conditions) {
+            Map<String, Object> map = new LinkedHashMap<>();
+            map.put("path", condition.path());
+            map.put("stamp", condition.stamp());
+            ifs.add(map);
+        }
+        List<Object> thens = new ArrayList<>();
+        for (Change change : changes) {
+            thens.add(change.toMap());
+        }
+        Map<String, Object> request = new LinkedHashMap<>();
+        request.put("if", ifs);
+        request.put("then", thens);
+        submit(urgency, new Pending("POST", "/txn", Cbor.encode(request), changes.size(), TIMEOUT_MICROS,
+                (status, body) -> {
+                    if (status == 200) {
+                        parsed(body, map -> callback.done(Result.OK, new Fields(map).integer("generation"), List.of()),
+                                () -> callback.done(Result.UNKNOWN, 0, List.of()));
+                    } else if (status == 409) {
+                        parsed(body, map -> callback.done(Result.CONFLICT, 0, new Fields(map).texts("failed")),
+                                () -> callback.done(Result.UNKNOWN, 0, List.of()));
+                    } else {
+                        callback.done(failure(status), 0, List.of());
+                    }
+                }));
+    }
+
+    public void grant(long lifeMicros, GrantCallback callback) {
+        Map<String, Object> request = new LinkedHashMap<>();
+        request.put("lifeMs", lifeMicros / 1000);
+        submit(Urgency.URGENT, new Pending("POST", "/grants", Cbor.encode(request), 0, TIMEOUT_MICROS,
+                (status, body) -> {
+                    if (status == 200) {
+                        parsed(body, map -> callback.granted(Result.OK, new Fields(map).integer("hold")),
+                                () -> callback.granted(Result.UNKNOWN, 0));
+                    } else {
+                        callback.granted(failure(status), 0);
+                    }
+                }));
+    }
+
+    public void renew(long grant, GrantCallback callback) {
+        submit(Urgency.URGENT, new Pending("POST", "/grants/" + grant + "/renew", Cbor.encode(Map.of()), 0,
+                TIMEOUT_MICROS, (status, body) -> callback.granted(status == 200 ? Result.OK : failure(status), grant)));
+    }
+
+    /** Waits for changes under the prefix after the given generation. Open watches bypass the queue's concurrency. */
+    public void follow(String prefix, long since, long blockMicros, FollowCallback callback) {
+        String path = "/follow?prefix=" + prefix + "&since=" + since + "&blockMs=" + blockMicros / 1000;
+        // An outage keeps a watch open for longer than it asked for, so the timeout is generous.
+        transport.request(address, "GET", path, null, blockMicros + 5_000_000, (status, body) -> {
+            answered(status);
+            if (status == 200) {
+                parsed(body, map -> {
+                    Fields f = new Fields(map);
+                    List<Event> events = new ArrayList<>();
+                    for (Object item : f.list("events")) {
+                        events.add(event(itemMap(item)));
+                    }
+                    callback.events(Result.OK, events, f.integer("generation"));
+                }, () -> callback.events(Result.UNKNOWN, List.of(), since));
+            } else if (status == 410) {
+                callback.events(Result.NOT_FOUND, List.of(), since);
+            } else {
+                callback.events(failure(status), List.of(), since);
+            }
+        });
+    }
+
+    private static Result failure(int status) {
+        return switch (status) {
+            case 404 -> Result.NOT_FOUND;
+            case 400 -> Result.BAD;
+            // 429 and 503 were not executed, and neither was what was never sent.
+            case 429, 503, HttpTransport.NOT_SENT -> Result.UNAVAILABLE;
+            default -> Result.UNKNOWN;
+        };
+    }
+
+    private void submit(Urgency urgency, Pending pending) {
+        ArrayDeque<Pending> queue = queues.get(urgency);
+        if (queue.size() >= MAX_QUEUED) {
+            loop.execute(() -> pending.callback.answered(HttpTransport.NOT_SENT, new byte[0]));
+            return;
+        }
+        queue.addLast(pending);
+        pump();
+    }
+
+    private void pump() {
+        while (inFlight < MAX_IN_FLIGHT) {
+            long now = loop.nowMicros();
+            Urgency urgency = firstQueued();
+            if (urgency == null) {
+                return;
+            }
+            Pending next = queues.get(urgency).peekFirst();
+            long wait = Math.max(requests.waitMicros(now, 1), writes.waitMicros(now, next.writeCount));
+            if (urgency != Urgency.URGENT) {
+                wait = Math.max(wait, heldUntilMicros - now);
+            }
+            if (wait > 0) {
+                wakeAfter(wait);
+                return;
+            }
+            queues.get(urgency).pollFirst();
+            requests.take(now, 1);
+            writes.take(now, next.writeCount);
+            send(next);
+        }
+    }
+
+    private Urgency firstQueued() {
+        for (Urgency urgency : Urgency.values()) {
+            if (!queues.get(urgency).isEmpty()) {
+                return urgency;
+            }
+        }
+        return null;
+    }
+
+    private void wakeAfter(long micros) {
+        if (!wakeScheduled) {
+            wakeScheduled = true;
+            loop.schedule(micros, () -> {
+                wakeScheduled = false;
+                pump();
+            });
+        }
+    }
+
+    private void send(Pending pending) {
+        inFlight++;
+        transport.request(address, pending.method, pending.path, pending.body, pending.timeoutMicros,
+                (status, body) -> {
+                    inFlight--;
+                    answered(status);
+                    pending.callback.answered(status, body);
+                    pump();
+                });
+    }
+
+    private void answered(int status) {
+        if (status == 429 || status == 503 || status <= 0) {
+            troubles++;
+            heldUntilMicros = loop.nowMicros() + 50_000 + random.nextInt(150_000);
+        }
+        if (status > 0 && status != 503) {
+            lastAnswerMicros = loop.nowMicros();
+        }
+    }
+
+    private interface Reader {
+        void read(Map<String, Object> map) throws WireException;
+    }
+
+    private static void parsed(byte[] body, Reader reader, Runnable unreadable) {
+        Map<String, Object> map;
+        try {
+            map = Cbor.decodeMap(body);
+        } catch (WireException e) {
+            unreadable.run();
+            return;
+        }
+        try {
+            reader.read(map);
+        } catch (WireException e) {
+            unreadable.run();
+        }
+    }
+
+    @SuppressWarnings("unchecked")
+    private static Map<String, Object> itemMap(Object item) throws WireException {
+        if (item instanceof Map<?, ?>) {
+            return (Map<String, Object>) item;
+        }
+        throw new WireException("items: expected maps");
+    }
+
+    @SuppressWarnings("unchecked")
+    private static Entry entry(Map<String, Object> map) throws WireException {
+        Fields f = new Fields(map);
+        return new Entry(f.text("path"), (Map<String, Object>) map.get("value"), f.integer("stamp"));
+    }
+
+    @SuppressWarnings("unchecked")
+    private static Event event(Map<String, Object> map) throws WireException {
+        Fields f = new Fields(map);
+        boolean put = f.has("put");
+        return new Event(f.text(put ? "put" : "drop"), put ? (Map<String, Object>) map.get("value") : null,
+                f.integer("stamp"));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/wire/Cbor.java
@@ -0,0 +1,179 @@
+package org.woadloom.wire;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The body format of every interface: CBOR restricted to maps with text keys, lists, text, numbers, booleans and
+ * null. Values are plain Java objects: Map, List, String, Long, Double, Boolean and null.
+ */
+public final class Cbor {
+    private static final CBORFactory FACTORY = new CBORFactory();
+    private static final int MAX_DEPTH = 32;
+
+    private Cbor() {
+    }
+
+    public static byte[] encode(Object value) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream(256);
+        try (JsonGenerator generator = FACTORY.createGenerator(out)) {
+            write(generator, value);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return out.toByteArray();
+    }
+
+    /** Decodes a body that must be one map. */
+    public static Map<String, Object> decodeMap(byte[] body) throws WireException {
+        Object value = decode(body);
+        if (!(value instanceof Map<?, ?> map)) {
+            throw new WireException("body: expected a map");
+        }
+        @SuppressWarnings("unchecked")
+        Map<String, Object> result = (Map<String, Object>) map;
+        return result;
+    }
+
+    public static Object decode(byte[] body) throws WireException {
+        try (JsonParser parser = FACTORY.createParser(body)) {
+            JsonToken token = parser.nextToken();
+            if (token == null) {
+                throw new WireException("body: empty");
+            }
+            Object value = read(parser, token, 0);
+            if (parser.nextToken() != null) {
+                throw new WireException("body: more than one value");
+            }
+            return value;
+        } catch (IOException | ArithmeticException | IllegalArgumentException e) {
+            throw new WireException("body: not CBOR");
+        }
+    }
+
+    private static Object read(JsonParser parser, JsonToken token, int depth) throws IOException, WireException {
+        if (depth > MAX_DEPTH) {
+            throw new WireException("body: nested too deeply");
+        }
+        switch (token) {
+            case START_OBJECT: {
+                Map<String, Object> map = new LinkedHashMap<>();
+                String name;
+                while ((name = parser.nextFieldName()) != null) {
+                    map.put(name, read(parser, next(parser), depth + 1));
+                }
+                if (parser.currentToken() != JsonToken.END_OBJECT) {
+                    throw new WireException("body: a map key is not text");
+                }
+                return map;
+            }
+            case START_ARRAY: {
+                List<Object> list = new ArrayList<>();
+                for (JsonToken item = next(parser); item != JsonToken.END_ARRAY; item = next(parser)) {
+                    list.add(read(parser, item, depth + 1));
+                }
+                return list;
+            }
+            case VALUE_STRING:
+                return parser.getText();
+            case VALUE_NUMBER_INT:
+                if (parser.getNumberType() == JsonParser.NumberType.BIG_INTEGER) {
+                    throw new WireException("body: integer out of range");
+                }
+                return parser.getLongValue();
+            case VALUE_NUMBER_FLOAT:
+                return parser.getDoubleValue();
+            case VALUE_TRUE:
+                return Boolean.TRUE;
+            case VALUE_FALSE:
+                return Boolean.FALSE;
+            case VALUE_NULL:
+                return null;
+            default:
+                throw new WireException("body: unsupported value");
+        }
+    }
+
+    private static JsonToken next(JsonParser parser) throws IOException, WireException {
+        JsonToken token = parser.nextToken();
+        if (token == null) {
+            throw new WireException("body: cut short");
+        }
+        return token;
+    }
+
+    private static void write(JsonGenerator generator, Object value) throws IOException {
+        if (value == null) {
+            generator.writeNull();
+        } else if (value instanceof Map<?, ?> map) {
+            generator.writeStartObject(map, map.size());
+            for (Map.Entry<?, ?> entry : map.entrySet()) {
+                generator.writeFieldName((String) entry.getKey());
+                write(generator, entry.getValue());
+            }
+            generator.writeEndObject();
+        } else if (value instanceof List<?> list) {
+            generator.writeStartArray(list, list.size());
+            for (Object item : list) {
+                write(generator, item);
+            }
+            generator.writeEndArray();
+        } else if (value instanceof String text) {
+            generator.writeString(text);
+        } else if (value instanceof Boolean flag) {
+            generator.writeBoolean(flag);
+        } else if (value instanceof Double number) {
+            generator.writeNumber(number);
+        } else if (value instanceof Integer number) {
+            generator.writeNumber(number);
+        } else if (value instanceof Long number) {
+            generator.writeNumber(number);
+        } else {
+            throw new IllegalArgumentException("not a wire value: " + value.getClass());
+        }
+    }
+
+    /** An upper estimate of the value's size as JSON, the form in which the protocol counts its limits. */
+    public static int jsonSize(Object value) {
+        if (value == null) {
+            return 4;
+        }
+        if (value instanceof Map<?, ?> map) {
+            int size = 2;
+            for (Map.Entry<?, ?> entry : map.entrySet()) {
+                size += textSize((String) entry.getKey()) + 2 + jsonSize(entry.getValue());
+            }
+            return size;
+        }
+        if (value instanceof List<?> list) {
+            int size = 2;
+            for (Object item : list) {
+                size += 1 + jsonSize(item);
+            }
+            return size;
+        }
+        if (value instanceof String text) {
+            return textSize(text);
+        }
+        return value.toString().length();
+    }
+
+    private static int textSize(String text) {
+        int size = 2;
+        for (int i = 0; i < text.length(); i++) {
+            char c = text.charAt(i);
+            // A JSON writer may escape anything outside printable ASCII as \\uXXXX.
+            size += c < 0x20 || c > 0x7e ? 6 : c == '"' || c == '\\' ? 2 : 1;
+        }
+        return size;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/wire/JobDescription.java
@@ -0,0 +1,94 @@
+package org.woadloom.wire;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A job as its user submits it. {@code hosttypes}, {@code yard} and {@code dueS} are null where the user set no limit;
+ * amounts and durations keep the protocol's units here and become microseconds in the core.
+ */
+public record JobDescription(String uid, String jobclass, String crew, boolean service, Rank rank, int shards,
+        double vcpus, double cards, double ramGb, String bundle, double pullGb, List<String> hosttypes, String yard,
+        boolean samePlace, boolean apart, boolean reclaimable, double runtimeS, double snapshotEveryS,
+        double snapshotCostS, Double dueS) {
+
+    public static final int MAX_SHARDS = 100_000;
+    private static final int MAX_NAME = 120;
+
+    /** True for text that has the form of a job id and can be part of a key and of a path. */
+    public static boolean isUid(String text) {
+        if (!text.startsWith("j-") || text.length() < 3 || text.length() > 66) {
+            return false;
+        }
+        for (int i = 2; i < text.length(); i++) {
+            char c = text.charAt(i);
+            if (!(c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '-' || c == '_')) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    public static JobDescription parse(Map<String, Object> map) throws WireException {
+        Fields f = new Fields(map);
+        String uid = f.text("uid");
+        if (!isUid(uid)) {
+            throw new WireException("uid: expected an id such as j-000412");
+        }
+        String shape = f.text("shape");
+        if (!shape.equals("batch") && !shape.equals("service")) {
+            throw new WireException("shape: expected batch or service");
+        }
+        long shards = f.integer("shards");
+        if (shards < 1 || shards > MAX_SHARDS) {
+            throw new WireException("shards: expected 1 to " + MAX_SHARDS);
+        }
+        List<String> hosttypes = f.has("hosttypes") ? List.copyOf(f.texts("hosttypes")) : null;
+        double vcpus = f.amount("vcpus");
+        double cards = f.amountOr("cards", 0);
+        double ramGb = f.amount("ramGb");
+        if (vcpus == 0 && cards == 0 && ramGb == 0) {
+            throw new WireException("vcpus: a task must take something of its machine");
+        }
+        return new JobDescription(uid, name(f, "jobclass"), name(f, "crew"), shape.equals("service"),
+                Rank.parse(f.text("rank")), (int) shards, vcpus, cards, ramGb, name(f, "bundle"),
+                f.amountOr("pullGb", 0), hosttypes, f.textOr("yard", null), f.flagOr("samePlace", false),
+                f.flagOr("apart", false), f.flagOr("reclaimable", false), f.amountOr("runtimeS", 0),
+                f.amountOr("snapshotEveryS", 0), f.amountOr("snapshotCostS", 0),
+                f.has("dueS") ? Double.valueOf(f.amount("dueS")) : null);
+    }
+
+    private static String name(Fields f, String field) throws WireException {
+        String text = f.text(field);
+        if (text.isEmpty() || text.length() > MAX_NAME) {
+            throw new WireException(field + ": expected 1 to " + MAX_NAME + " characters");
+        }
+        return text;
+    }
+
+    public Map<String, Object> toMap() {
+        Map<String, Object> map = new LinkedHashMap<>();
+        map.put("uid", uid);
+        map.put("jobclass", jobclass);
+        map.put("crew", crew);
+        map.put("shape", service ? "service" : "batch");
+        map.put("rank", rank.wireName());
+        map.put("shards", (long) shards);
+        map.put("vcpus", vcpus);
+        map.put("cards", cards);
+        map.put("ramGb", ramGb);
+        map.put("bundle", bundle);
+        map.put("pullGb", pullGb);
+        map.put("hosttypes", hosttypes);
+        map.put("yard", yard);
+        map.put("samePlace", samePlace);
+        map.put("apart", apart);
+        map.put("reclaimable", reclaimable);
+        map.put("runtimeS", runtimeS);
+        map.put("snapshotEveryS", snapshotEveryS);
+        map.put("snapshotCostS", snapshotCostS);
+        map.put("dueS", dueS);
+        return map;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/wire/TaskId.java
@@ -0,0 +1,24 @@
+package org.woadloom.wire;
+
+/** One task of a job, written {@code j-000412/3}. */
+public record TaskId(String uid, int index) {
+    public static TaskId parse(String text) throws WireException {
+        int slash = text.indexOf('/');
+        if (slash > 0) {
+            try {
+                int index = Integer.parseInt(text.substring(slash + 1));
+                if (index >= 0) {
+                    return new TaskId(text.substring(0, slash), index);
+                }
+            } catch (NumberFormatException e) {
+                // falls through to the one error below
+            }
+        }
+        throw new WireException("shard: expected an id such as j-000412/3");
+    }
+
+    @Override
+    public String toString() {
+        return uid + "/" + index;
+    }
+}
