--- a/src/main/java/org/woadloom/core/Core.java
+++ b/src/main/java/org/woadloom/core/Core.java
@@ -15,6 +15,9 @@
 import org.woadloom.core.placement.Eligibility;
 import org.woadloom.core.placement.Placer;
 import org.woadloom.core.placement.Preemption;
+import org.woadloom.core.reservation.Gathering;
+import org.woadloom.core.reservation.Reservation;
+import org.woadloom.core.reservation.Reservations;
 import org.woadloom.wire.MachineType;
 
 /**
@@ -35,6 +38,8 @@
         final MachineTable machines;
         final Reports reports;
         final Directs directs;
+        final Reservations reservations;
+        final Gathering gathering;
         final Placer placer;
         final Preemption preemption;
         final Capacity capacity;
@@ -48,9 +53,11 @@
             reports = new Reports(world, machines, losses);
             directs = new Directs(world, reports, losses);
             Eligibility eligibility = new Eligibility(world);
-            placer = new Placer(world, eligibility);
-            preemption = new Preemption(world, eligibility, placer);
-            capacity = new Capacity(world, eligibility, placer, machines);
+            reservations = new Reservations(world);
+            gathering = new Gathering(world, eligibility, reservations);
+            placer = new Placer(world, eligibility, reservations);
+            preemption = new Preemption(world, eligibility, placer, reservations);
+            capacity = new Capacity(world, eligibility, placer, machines, reservations);
         }
     }
 
@@ -136,7 +143,9 @@
         endLeases(l);
         drain(l);
         l.recorder.release();
+        List<Reservation> failed = l.reservations.sync();
         l.placer.place();
+        l.gathering.gather(failed, l.placer.queue());
         l.preemption.makeRoom();
         l.capacity.review();
         l.recorder.emitWrites();
--- a/src/main/java/org/woadloom/core/capacity/Capacity.java
+++ b/src/main/java/org/woadloom/core/capacity/Capacity.java
@@ -13,6 +13,7 @@
 import org.woadloom.core.placement.Eligibility;
 import org.woadloom.core.placement.Placer;
 import org.woadloom.core.placement.Room;
+import org.woadloom.core.reservation.Reservations;
 import org.woadloom.state.MachineRecord;
 import org.woadloom.wire.MachineType;
 
@@ -28,6 +29,7 @@
     private final Eligibility eligibility;
     private final Placer placer;
     private final MachineTable machines;
+    private final Reservations reservations;
     private final Map<String, Claim> claims = new LinkedHashMap<>();
     private final Map<Kind, Long> notBefore = new LinkedHashMap<>();
     private long reviewedMicros = Long.MIN_VALUE / 2;
@@ -64,11 +66,13 @@
         }
     }
 
-    public Capacity(World world, Eligibility eligibility, Placer placer, MachineTable machines) {
+    public Capacity(World world, Eligibility eligibility, Placer placer, MachineTable machines,
+            Reservations reservations) {
         this.world = world;
         this.eligibility = eligibility;
         this.placer = placer;
         this.machines = machines;
+        this.reservations = reservations;
     }
 
     public void review() {
@@ -103,7 +107,7 @@
         }
         Map<Kind, Integer> wanted = new LinkedHashMap<>();
         for (Job job : placer.queue()) {
-            int tasks = Math.min(job.pending(), job.team.allowed(job.room));
+            int tasks = Math.min(job.pending() - reservations.of(job).size(), job.team.allowed(job.room));
             for (Supply s : supply) {
                 while (tasks > 0 && s.free.holds(job.room) && usable(job, s.kind)) {
                     s.free = s.free.minus(job.room);
@@ -207,7 +211,7 @@
         }
         double headroom = world.settings.operator().headroom();
         for (Machine machine : world.machines.values()) {
-            if (machine.leaving || machine.deleted) {
+            if (machine.leaving || machine.deleted || reservations.holdsAny(machine)) {
                 continue;
             }
             if (neverCame(machine) || lost(machine) || machine.takenMicros >= 0 && machine.empty()) {
--- a/src/main/java/org/woadloom/core/placement/Preemption.java
+++ b/src/main/java/org/woadloom/core/placement/Preemption.java
@@ -6,7 +6,9 @@
 import org.woadloom.core.World;
 import org.woadloom.core.jobs.Job;
 import org.woadloom.core.jobs.Placement;
+import org.woadloom.core.jobs.Recording;
 import org.woadloom.core.machines.Machine;
+import org.woadloom.core.reservation.Reservations;
 
 /**
  * Stops tasks to make room: work of a lower rank, and, for work within its team's guarantee, whatever another team runs
@@ -16,16 +18,19 @@
     private final World world;
     private final Eligibility eligibility;
     private final Placer placer;
+    private final Reservations reservations;
 
-    public Preemption(World world, Eligibility eligibility, Placer placer) {
+    public Preemption(World world, Eligibility eligibility, Placer placer, Reservations reservations) {
         this.world = world;
         this.eligibility = eligibility;
         this.placer = placer;
+        this.reservations = reservations;
     }
 
     public void makeRoom() {
         for (Job job : placer.queue()) {
-            int wanted = Math.min(job.pending(), job.team.allowed(job.room));
+            // Room that is reserved for the job, or being made for it, is on its way.
+            int wanted = Math.min(job.pending() - reservations.of(job).size(), job.team.allowed(job.room));
             for (Machine machine : world.machines.values()) {
                 if (wanted <= 0) {
                     break;
@@ -40,19 +45,13 @@
 
     /** Stops what must go on one machine; returns how many of the job's tasks will fit. */
     private int free(Job job, Machine machine, int wanted) {
-        Room coming = machine.free();
+        Room coming = reservations.unreserved(machine, job);
         List<Placement> victims = new ArrayList<>();
         for (Placement placement : machine.placements()) {
-            if (placement.halting) {
-                coming = coming.plus(placement.job.room);
-            } else if (mayStop(job, placement)) {
+            if (!placement.halting && mayStop(job, placement)) {
                 victims.add(placement);
             }
         }
-        int already = coming.count(job.room);
-        if (already >= 1) {
-            return Math.min(already, wanted);
-        }
         victims.sort(Comparator.comparing((Placement p) -> p.job.description.rank())
                 .thenComparingLong(p -> -p.placedMicros));
         List<Placement> chosen = new ArrayList<>();
@@ -70,13 +69,20 @@
             world.note("task " + victim.task() + " is stopped on " + machine.host + " for job " + job.uid());
             stop(victim);
         }
-        return Math.min(coming.count(job.room), wanted);
+        // The freed room is the preemptor's alone.
+        int made = 0;
+        while (made < wanted && coming.holds(job.room)
+                && reservations.reserve(job, machine, job.room, true, true) != null) {
+            coming = coming.minus(job.room);
+            made++;
+        }
+        return made;
     }
 
     private void stop(Placement victim) {
         if (victim.neverSent()) {
             victim.job.remove(victim);
-            victim.job.recording.needs(org.woadloom.core.jobs.Recording.Need.OUTCOME);
+            victim.job.recording.needs(Recording.Need.OUTCOME);
             world.placementWorthTrying = true;
         } else {
             victim.halting = true;
--- /dev/null
+++ b/src/main/java/org/woadloom/core/reservation/Gathering.java
@@ -0,0 +1,182 @@
+package org.woadloom.core.reservation;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.woadloom.core.World;
+import org.woadloom.core.jobs.Job;
+import org.woadloom.core.machines.Machine;
+import org.woadloom.core.placement.Eligibility;
+import org.woadloom.core.placement.Room;
+
+/**
+ * Gathers room for gangs, and for tasks too big for the free room of any machine now. In each zone one job gathers at a
+ * time, the oldest first; its reservations are renewed while it does. If one of them fails, all are released and the job
+ * queues again.
+ */
+public final class Gathering {
+    private final World world;
+    private final Eligibility eligibility;
+    private final Reservations reservations;
+    /** Who gathers in a zone; a gang that may spread over zones holds several. */
+    private final Map<String, Job> byYard = new LinkedHashMap<>();
+    private final Map<Job, Long> requeuedMicros = new LinkedHashMap<>();
+    private final Map<Job, Long> renewedMicros = new LinkedHashMap<>();
+
+    public Gathering(World world, Eligibility eligibility, Reservations reservations) {
+        this.world = world;
+        this.eligibility = eligibility;
+        this.reservations = reservations;
+    }
+
+    /** True for jobs that reserve: gangs, and tasks that take a large part of the machines they may use. */
+    public boolean gathers(Job job) {
+        return job.description.gang() || big(job);
+    }
+
+    private boolean big(Job job) {
+        double share = world.settings.operator().bigTaskShare();
+        boolean allowedAnywhere = false;
+        for (var type : world.types.values()) {
+            if (type.holds(job.description)
+                    && (job.description.hosttypes() == null || job.description.hosttypes().contains(type.name()))) {
+                allowedAnywhere = true;
+                Room size = Room.of(type);
+                if (job.room.cpu() < size.cpu() * share && job.room.ram() < size.ram() * share
+                        && (size.card() == 0 || job.room.card() < size.card() * share)) {
+                    return false;
+                }
+            }
+        }
+        return allowedAnywhere;
+    }
+
+    /** Takes note of reservations that failed, ends turns that are over and begins new ones. */
+    public void gather(List<Reservation> failed, List<Job> queue) {
+        for (Reservation reservation : failed) {
+            if (byYard.containsValue(reservation.owner)) {
+                world.note("reservation of job " + reservation.owner.uid() + " on " + reservation.machine.host
+                        + " failed: the job queues again");
+                giveUp(reservation.owner);
+            }
+        }
+        for (Job job : new ArrayList<>(byYard.values())) {
+            if (job.over() || job.pending() == 0 || !world.jobs.containsValue(job)) {
+                end(job);
+            }
+        }
+        List<Job> waiting = new ArrayList<>();
+        for (Job job : queue) {
+            if (gathers(job) && !byYard.containsValue(job)) {
+                waiting.add(job);
+            }
+        }
+        waiting.sort(Comparator.comparingLong((Job job) -> requeuedMicros.getOrDefault(job, job.submittedMicros))
+                .thenComparing(Job::uid));
+        for (Job job : waiting) {
+            begin(job);
+        }
+        for (Job job : new LinkedHashSet<>(byYard.values())) {
+            renew(job);
+        }
+        requeuedMicros.keySet().removeIf(job -> !world.jobs.containsKey(job.uid()));
+    }
+
+    private void giveUp(Job job) {
+        requeuedMicros.put(job, world.nowMicros);
+        end(job);
+    }
+
+    private void end(Job job) {
+        byYard.values().removeIf(holder -> holder == job);
+        renewedMicros.remove(job);
+        for (Reservation reservation : reservations.of(job)) {
+            reservations.release(reservation);
+        }
+    }
+
+    private void begin(Job job) {
+        int wanted = job.description.gang() ? job.pending() : 1;
+        for (Set<String> yards : choices(job)) {
+            List<Machine> chosen = choose(job, wanted, yards);
+            if (chosen == null) {
+                continue;
+            }
+            List<Reservation> made = new ArrayList<>();
+            for (Machine machine : chosen) {
+                Reservation reservation = reservations.reserve(job, machine, job.room, true, true);
+                if (reservation == null) {
+                    break;
+                }
+                made.add(reservation);
+            }
+            if (made.size() < chosen.size()) {
+                made.forEach(reservations::release);
+                continue;
+            }
+            chosen.forEach(machine -> byYard.put(machine.yard, job));
+            renewedMicros.put(job, world.nowMicros);
+            world.note("job " + job.uid() + " gathers room for " + wanted + " tasks");
+            return;
+        }
+    }
+
+    /** The sets of zones in which the job may gather: one zone each where all must be together, else all free ones. */
+    private List<Set<String>> choices(Job job) {
+        Set<String> open = new LinkedHashSet<>();
+        for (Machine machine : world.machines.values()) {
+            if (!byYard.containsKey(machine.yard)) {
+                open.add(machine.yard);
+            }
+        }
+        List<Set<String>> choices = new ArrayList<>();
+        for (String yard : open) {
+            choices.add(Set.of(yard));
+        }
+        if (!job.description.samePlace() && open.size() > 1) {
+            choices.add(open);
+        }
+        return choices;
+    }
+
+    /** Machines for the wanted number of tasks: those that need the least more room first. Null if there are too few. */
+    private List<Machine> choose(Job job, int wanted, Set<String> yards) {
+        List<Machine> candidates = new ArrayList<>();
+        for (Machine machine : world.machines.values()) {
+            if (yards.contains(machine.yard) && eligibility.takesTasks(machine) && eligibility.allows(job, machine)
+                    && machine.size.holds(job.room) && !job.failedOn.contains(machine.host)) {
+                candidates.add(machine);
+            }
+        }
+        candidates.sort(Comparator.comparingLong((Machine machine) -> -reservations.unreserved(machine, job).cpu()));
+        int perYard = job.description.apart() ? (job.description.shards() + 1) / 2 : Integer.MAX_VALUE;
+        Map<String, Integer> inYard = new LinkedHashMap<>();
+        List<Machine> chosen = new ArrayList<>();
+        for (Machine machine : candidates) {
+            int room = machine.size.count(job.room);
+            while (room > 0 && chosen.size() < wanted
+                    && job.placedIn(machine.yard) + inYard.getOrDefault(machine.yard, 0) < perYard) {
+                chosen.add(machine);
+                inYard.merge(machine.yard, 1, Integer::sum);
+                room--;
+            }
+        }
+        return chosen.size() == wanted ? chosen : null;
+    }
+
+    /** Renewal keeps a gathering job's room; a machine that got stuck is then exchanged for one with room. */
+    private void renew(Job job) {
+        if (world.nowMicros - renewedMicros.getOrDefault(job, world.nowMicros) < world.settings.operator()
+                .reservationRenewMicros()) {
+            return;
+        }
+        renewedMicros.put(job, world.nowMicros);
+        for (Reservation reservation : reservations.of(job)) {
+            reservations.renew(reservation);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/core/reservation/Reservation.java
@@ -0,0 +1,77 @@
+package org.woadloom.core.reservation;
+
+import org.woadloom.core.jobs.Job;
+import org.woadloom.core.machines.Machine;
+import org.woadloom.core.placement.Room;
+
+/** Room on one machine that only its owner's tasks may draw. */
+public final class Reservation {
+    /** The phases of the paper. */
+    public enum Phase { PENDING, WAITING, AVAILABLE, SUCCEEDED, FAILED }
+
+    public final long id;
+    /** The template: what is held. */
+    public final Room template;
+    /** The job whose tasks may draw it. */
+    public final Job owner;
+    public final Machine machine;
+    /** Ends with the first owner that draws it, whatever is left. */
+    public final boolean allocateOnce;
+    /** Made on a machine that had no room yet. */
+    public final boolean preAllocation;
+    private Phase phase = Phase.PENDING;
+    private Room allocated = Room.NONE;
+    private long expiresMicros;
+
+    Reservation(long id, Room template, Job owner, Machine machine, boolean allocateOnce, boolean preAllocation,
+            long expiresMicros) {
+        this.id = id;
+        this.template = template;
+        this.owner = owner;
+        this.machine = machine;
+        this.allocateOnce = allocateOnce;
+        this.preAllocation = preAllocation;
+        this.expiresMicros = expiresMicros;
+    }
+
+    public Phase phase() {
+        return phase;
+    }
+
+    void become(Phase next) {
+        phase = next;
+    }
+
+    /** True while the room is held. */
+    public boolean live() {
+        return phase == Phase.WAITING || phase == Phase.AVAILABLE;
+    }
+
+    /** What is still to be drawn. */
+    public Room remaining() {
+        return live() ? template.minus(allocated) : Room.NONE;
+    }
+
+    public Room allocated() {
+        return allocated;
+    }
+
+    /** What a task of this size would draw here before it takes from the machine. */
+    public Room drawable(Room task) {
+        Room left = remaining();
+        return new Room(Math.min(left.cpu(), task.cpu()), Math.min(left.card(), task.card()),
+                Math.min(left.ram(), task.ram()));
+    }
+
+    void draw(Room room) {
+        allocated = allocated.plus(room);
+    }
+
+    public long expiresMicros() {
+        return expiresMicros;
+    }
+
+    void renew(long until) {
+        expiresMicros = until;
+    }
+}
--- a/src/main/java/org/woadloom/core/teams/TeamUse.java
+++ b/src/main/java/org/woadloom/core/teams/TeamUse.java
@@ -33,6 +33,11 @@
         return limit.minus(used).floor().count(task);
     }
 
+    /** The same, where the first tasks give back what was held for them. */
+    public int allowed(Room task, Room credit) {
+        return limit.minus(used).plus(credit).floor().count(task);
+    }
+
     public boolean withinGuarantee(Room more) {
         return guarantee.holds(used.plus(more));
     }
--- a/src/main/java/org/woadloom/wire/JobDescription.java
+++ b/src/main/java/org/woadloom/wire/JobDescription.java
@@ -8,7 +8,7 @@
  * A job as its user submits it. {@code hosttypes}, {@code yard} and {@code dueS} are null where the user set no limit;
  * amounts and durations keep the protocol's units here and become microseconds in the core.
  */
-public record JobDescription(String uid, String jobclass, String crew, boolean service, Rank rank, int shards,
+public record JobDescription(String uid, String jobclass, String crew, Shape shape, Rank rank, int shards,
         double vcpus, double cards, double ramGb, String bundle, double pullGb, List<String> hosttypes, String yard,
         boolean samePlace, boolean apart, boolean reclaimable, double runtimeS, double snapshotEveryS,
         double snapshotCostS, Double dueS) {
@@ -36,10 +36,6 @@
         if (!isUid(uid)) {
             throw new WireException("uid: expected an id such as j-000412");
         }
-        String shape = f.text("shape");
-        if (!shape.equals("batch") && !shape.equals("service")) {
-            throw new WireException("shape: expected batch or service");
-        }
         long shards = f.integer("shards");
         if (shards < 1 || shards > MAX_SHARDS) {
             throw new WireException("shards: expected 1 to " + MAX_SHARDS);
@@ -51,7 +47,7 @@
         if (vcpus == 0 && cards == 0 && ramGb == 0) {
             throw new WireException("vcpus: a task must take something of its machine");
         }
-        return new JobDescription(uid, name(f, "jobclass"), name(f, "crew"), shape.equals("service"),
+        return new JobDescription(uid, name(f, "jobclass"), name(f, "crew"), Shape.parse(f.text("shape")),
                 Rank.parse(f.text("rank")), (int) shards, vcpus, cards, ramGb, name(f, "bundle"),
                 f.amountOr("pullGb", 0), hosttypes, f.textOr("yard", null), f.flagOr("samePlace", false),
                 f.flagOr("apart", false), f.flagOr("reclaimable", false), f.amountOr("runtimeS", 0),
@@ -67,12 +63,20 @@
         return text;
     }
 
+    public boolean service() {
+        return shape == Shape.SERVICE;
+    }
+
+    public boolean gang() {
+        return shape == Shape.GROUP;
+    }
+
     public Map<String, Object> toMap() {
         Map<String, Object> map = new LinkedHashMap<>();
         map.put("uid", uid);
         map.put("jobclass", jobclass);
         map.put("crew", crew);
-        map.put("shape", service ? "service" : "batch");
+        map.put("shape", shape.wireName());
         map.put("rank", rank.wireName());
         map.put("shards", (long) shards);
         map.put("vcpus", vcpus);
--- a/src/main/java/org/woadloom/wire/TaskReport.java
+++ b/src/main/java/org/woadloom/wire/TaskReport.java
@@ -2,14 +2,21 @@
 
 /** What a worker says of one task. {@code cause} is null unless the task has exited. */
 public record TaskReport(TaskId task, long attempt, State state, Cause cause, boolean saved) {
-    public enum State { FETCHING, RUNNING, FLUSHING, EXITED }
+    public enum State { FETCHING, GATHERING, RUNNING, FLUSHING, EXITED }
 
-    public enum Cause { DONE, HALTED, ERROR, NO_ROOM, BUSY, UNKNOWN }
+    public enum Cause {
+        DONE, HALTED, ERROR, NO_ROOM, BUSY, UNKNOWN,
+        /** A task of a gang whose peers went away. */
+        PEERS,
+        /** A task of a gang that was never complete. */
+        INCOMPLETE
+    }
 
     static TaskReport parse(Object value) throws WireException {
         Fields f = Fields.of(value, "shards");
         State state = switch (f.text("status")) {
             case "fetching" -> State.FETCHING;
+            case "gathering" -> State.GATHERING;
             case "running" -> State.RUNNING;
             case "flushing" -> State.FLUSHING;
             case "exited" -> State.EXITED;
@@ -24,6 +31,8 @@
                 case "no_room" -> Cause.NO_ROOM;
                 case "busy" -> Cause.BUSY;
                 case "unknown" -> Cause.UNKNOWN;
+                case "peers" -> Cause.PEERS;
+                case "incomplete" -> Cause.INCOMPLETE;
                 default -> Cause.ERROR;
             };
         }
