--- /dev/null
+++ b/src/main/java/org/woadloom/cli/CheckCommand.java
@@ -0,0 +1,42 @@
+package org.woadloom.cli;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.woadloom.settings.OperatorSettings;
+import org.woadloom.settings.ServiceSettings;
+import org.woadloom.settings.SettingsException;
+
+/** Reads settings and says what they mean. */
+final class CheckCommand implements Subcommand {
+    @Override
+    public String name() {
+        return "check";
+    }
+
+    @Override
+    public String arguments() {
+        return "";
+    }
+
+    @Override
+    public String description() {
+        return "Checks settings without starting anything, and says what they mean.";
+    }
+
+    @Override
+    public Options options() {
+        return SettingsOptions.options();
+    }
+
+    @Override
+    public int run(CommandLine line) throws SettingsException {
+        ServiceSettings service = SettingsOptions.service(line);
+        OperatorSettings operator = SettingsOptions.operator(line);
+        System.out.printf("node %s in %s, listening on %s and, for %d peers, on %s%n", service.label(), service.area(),
+                service.bind(), service.peers().size(), service.peerBind());
+        System.out.printf("%d teams, zones %s, state service at %s, cloud at %s%n", service.teams().size(),
+                String.join(", ", service.zones()), service.stateAddress(), service.cloudAddress());
+        System.out.print(operator.describe());
+        return DONE;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/cli/JobCommand.java
@@ -0,0 +1,124 @@
+package org.woadloom.cli;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.time.Duration;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.woadloom.wire.Cbor;
+import org.woadloom.wire.JobDescription;
+import org.woadloom.wire.WireException;
+
+/** What a user can do with a job from the command line. */
+final class JobCommand implements Subcommand {
+    private static final String DEFAULT_NODE = "127.0.0.1:8080";
+    private static final Duration TIMEOUT = Duration.ofSeconds(5);
+
+    private final String verb;
+    private final String arguments;
+    private final String description;
+    private final Request request;
+
+    private interface Request {
+        HttpRequest.Builder make(String node, String argument) throws Exception;
+    }
+
+    private JobCommand(String verb, String arguments, String description, Request request) {
+        this.verb = verb;
+        this.arguments = arguments;
+        this.description = description;
+        this.request = request;
+    }
+
+    static Subcommand submit() {
+        return new JobCommand("submit", "FILE", "Submits the job that a JSON file describes; repeating it is harmless.",
+                (node, file) -> {
+                    JobDescription job;
+                    try {
+                        job = JobDescription.parse(Cbor.decodeJsonMap(Files.readAllBytes(Path.of(file))));
+                    } catch (NoSuchFileException e) {
+                        throw new UsageException(file + ": no such file");
+                    } catch (WireException e) {
+                        throw new UsageException(file + ": " + e.getMessage());
+                    }
+                    return post(node, "/v1/jobs", Cbor.encode(job.toMap()));
+                });
+    }
+
+    static Subcommand show() {
+        return new JobCommand("show", "JOB", "Shows the state of a job, such as j-000412.",
+                (node, uid) -> HttpRequest.newBuilder(uri(node, "/v1/jobs/" + checked(uid))));
+    }
+
+    static Subcommand cancel() {
+        return new JobCommand("cancel", "JOB", "Cancels a job.",
+                (node, uid) -> post(node, "/v1/jobs/" + checked(uid) + "/cancel", new byte[0]));
+    }
+
+    private static HttpRequest.Builder post(String node, String path, byte[] body) throws UsageException {
+        return HttpRequest.newBuilder(uri(node, path)).POST(HttpRequest.BodyPublishers.ofByteArray(body));
+    }
+
+    private static URI uri(String node, String path) throws UsageException {
+        try {
+            return URI.create("http://" + node + path);
+        } catch (IllegalArgumentException e) {
+            throw new UsageException("--node: expected an address such as " + DEFAULT_NODE);
+        }
+    }
+
+    private static String checked(String uid) throws UsageException {
+        if (!JobDescription.isUid(uid)) {
+            throw new UsageException(uid + ": expected an id such as j-000412");
+        }
+        return uid;
+    }
+
+    @Override
+    public String name() {
+        return "job " + verb;
+    }
+
+    @Override
+    public String arguments() {
+        return arguments;
+    }
+
+    @Override
+    public String description() {
+        return description;
+    }
+
+    @Override
+    public Options options() {
+        return new Options().addOption(Option.builder().longOpt("node").hasArg().argName("HOST:PORT")
+                .desc("a controller node or the load balancer (default " + DEFAULT_NODE + ")").build());
+    }
+
+    @Override
+    public int run(CommandLine line) throws Exception {
+        String node = line.getOptionValue("node", DEFAULT_NODE);
+        HttpRequest.Builder builder = request.make(node, line.getArgList().get(0));
+        HttpResponse<byte[]> response;
+        try {
+            response = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
+                    .send(builder.timeout(TIMEOUT).build(), HttpResponse.BodyHandlers.ofByteArray());
+        } catch (IOException e) {
+            throw new IOException(node + " does not answer: " + e.getClass().getSimpleName());
+        }
+        String text = Cbor.toJson(Cbor.decode(response.body()));
+        if (response.statusCode() / 100 == 2) {
+            System.out.println(text);
+            return DONE;
+        }
+        System.err.println("woadloom: " + response.statusCode() + " " + text);
+        return FAILED;
+    }
+}
--- a/src/main/java/org/woadloom/cli/Main.java
+++ b/src/main/java/org/woadloom/cli/Main.java
@@ -1,25 +1,107 @@
 package org.woadloom.cli;
 
-import java.nio.file.Path;
-import org.woadloom.node.Server;
-import org.woadloom.settings.OperatorSettings;
-import org.woadloom.settings.ServiceSettings;
-import org.woadloom.settings.ServiceSettingsFile;
+import java.io.PrintWriter;
+import java.util.Arrays;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.HelpFormatter;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
 import org.woadloom.settings.SettingsException;
 
-/** The program's entry. */
+/** The program's entry: what its command line offers. */
 public final class Main {
+    private static final int WIDTH = 100;
+    private static final List<Subcommand> COMMANDS = List.of(new ServeCommand(), new CheckCommand(),
+            JobCommand.submit(), JobCommand.show(), JobCommand.cancel(), new RehearseCommand());
+
     private Main() {
     }
 
-    public static void main(String[] args) throws Exception {
+    public static void main(String[] args) {
         Logging.configure(System.getenv("LOG_LEVEL"));
+        int code = run(args);
+        if (code != Subcommand.SERVING) {
+            System.exit(code);
+        }
+    }
+
+    static int run(String[] args) {
         try {
-            ServiceSettings settings = ServiceSettingsFile.read(Path.of(args[args.length - 1]));
-            Server.start(settings, OperatorSettings.defaults());
+            if (args.length == 0) {
+                throw new UsageException("a command is missing");
+            }
+            if (args[0].equals("--help") || args[0].equals("-h")) {
+                help();
+                return Subcommand.DONE;
+            }
+            if (args[0].equals("--version") || args[0].equals("-V")) {
+                System.out.println(Version.text());
+                return Subcommand.DONE;
+            }
+            return run(find(args), args);
+        } catch (UsageException | ParseException e) {
+            System.err.println("woadloom: " + e.getMessage() + " (see woadloom --help)");
+            return Subcommand.BAD_USAGE;
         } catch (SettingsException e) {
             System.err.println("woadloom: " + e.getMessage());
-            System.exit(2);
+            return Subcommand.BAD_USAGE;
+        } catch (Exception e) {
+            System.err.println("woadloom: " + e.getMessage());
+            return Subcommand.FAILED;
         }
     }
+
+    private static Subcommand find(String[] args) throws UsageException {
+        for (Subcommand command : COMMANDS) {
+            String[] words = command.name().split(" ");
+            if (args.length >= words.length && Arrays.equals(words, 0, words.length, args, 0, words.length)) {
+                return command;
+            }
+        }
+        throw new UsageException(args[0].startsWith("-") ? args[0] + ": a command is expected first"
+                : args[0] + ": no such command");
+    }
+
+    private static int run(Subcommand command, String[] args) throws Exception {
+        int words = command.name().split(" ").length;
+        String[] rest = Arrays.copyOfRange(args, words, args.length);
+        if (Arrays.asList(rest).contains("--help") || Arrays.asList(rest).contains("-h")) {
+            help(command);
+            return Subcommand.DONE;
+        }
+        CommandLine line = new DefaultParser().parse(command.options(), rest);
+        int expected = command.arguments().isEmpty() ? 0 : 1;
+        if (line.getArgList().size() != expected) {
+            throw new UsageException(expected == 0 ? line.getArgList().get(0) + ": unexpected argument"
+                    : command.name() + ": expected one " + command.arguments());
+        }
+        return command.run(line);
+    }
+
+    private static void help() {
+        System.out.println("usage: woadloom COMMAND [OPTIONS]");
+        System.out.println("A cluster scheduler that reserves room for the work that needs it.");
+        System.out.println();
+        for (Subcommand command : COMMANDS) {
+            if (!command.hidden()) {
+                System.out.printf("  %-12s %s%n", command.name(), command.description());
+            }
+        }
+        System.out.println();
+        System.out.println("  COMMAND --help   the options of a command");
+        System.out.println("  --version        the version");
+        System.out.println();
+        System.out.println("Exit codes: 0 done, 1 the request failed, 2 bad usage or settings.");
+    }
+
+    private static void help(Subcommand command) {
+        PrintWriter out = new PrintWriter(System.out, true);
+        Options options = command.options();
+        options.addOption("h", "help", false, "print this and end");
+        new HelpFormatter().printHelp(out, WIDTH,
+                "woadloom " + command.name() + " [OPTIONS] " + command.arguments(), command.description(), options, 2, 3,
+                "");
+    }
 }
--- /dev/null
+++ b/src/main/java/org/woadloom/cli/SettingsOptions.java
@@ -0,0 +1,34 @@
+package org.woadloom.cli;
+
+import java.nio.file.Path;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.woadloom.settings.OperatorSettings;
+import org.woadloom.settings.OperatorSettingsFile;
+import org.woadloom.settings.ServiceSettings;
+import org.woadloom.settings.ServiceSettingsFile;
+import org.woadloom.settings.SettingsException;
+
+/** The two files of settings, as options that commands share. */
+final class SettingsOptions {
+    private SettingsOptions() {
+    }
+
+    static Options options() {
+        return new Options()
+                .addOption(Option.builder().longOpt("config").hasArg().argName("FILE").required()
+                        .desc("the platform's settings (TOML)").build())
+                .addOption(Option.builder().longOpt("operator").hasArg().argName("FILE")
+                        .desc("the operators' own settings (HCL)").build());
+    }
+
+    static ServiceSettings service(CommandLine line) throws SettingsException {
+        return ServiceSettingsFile.read(Path.of(line.getOptionValue("config")));
+    }
+
+    static OperatorSettings operator(CommandLine line) throws SettingsException {
+        String file = line.getOptionValue("operator");
+        return file == null ? OperatorSettings.defaults() : OperatorSettingsFile.read(Path.of(file));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/node/Rehearsal.java
@@ -0,0 +1,44 @@
+package org.woadloom.node;
+
+import java.io.IOException;
+import java.net.HttpURLConnection;
+import java.net.URI;
+import java.nio.file.Path;
+import java.util.Map;
+import org.woadloom.settings.OperatorSettings;
+import org.woadloom.settings.ServiceSettings;
+import org.woadloom.settings.ServiceSettingsFile;
+import org.woadloom.wire.Cbor;
+
+/**
+ * Starts a node on loopback ports whose state service and cloud are the node itself, asks it a few things and returns.
+ * It is run only by the build, to find out which classes a start loads.
+ */
+public final class Rehearsal {
+    private static final long WORK_MILLIS = 1_500;
+
+    private Rehearsal() {
+    }
+
+    public static void run(Path file) throws Exception {
+        ServiceSettings settings = ServiceSettingsFile.read(file);
+        Server.start(settings, OperatorSettings.defaults());
+        ask(settings, "GET", "/healthz", null);
+        ask(settings, "POST", "/v1/jobs", Cbor.encode(Map.of("uid", "j-1")));
+        ask(settings, "GET", "/v1/jobs/j-1", null);
+        ask(settings, "POST", "/v1/report", Cbor.encode(Map.of("host", "host-1")));
+        Thread.sleep(WORK_MILLIS);
+    }
+
+    private static void ask(ServiceSettings settings, String method, String path, byte[] body) throws IOException {
+        HttpURLConnection connection = (HttpURLConnection) URI.create("http://" + settings.bind() + path).toURL()
+                .openConnection();
+        connection.setRequestMethod(method);
+        if (body != null) {
+            connection.setDoOutput(true);
+            connection.getOutputStream().write(body);
+        }
+        connection.getResponseCode();
+        connection.disconnect();
+    }
+}
--- a/src/main/java/org/woadloom/wire/Cbor.java
+++ b/src/main/java/org/woadloom/wire/Cbor.java
@@ -1,11 +1,13 @@
 package org.woadloom.wire;
 
+import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.StringWriter;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -35,7 +37,10 @@
 
     /** Decodes a body that must be one map. */
     public static Map<String, Object> decodeMap(byte[] body) throws WireException {
-        Object value = decode(body);
+        return map(decode(body));
+    }
+
+    private static Map<String, Object> map(Object value) throws WireException {
         if (!(value instanceof Map<?, ?> map)) {
             throw new WireException("body: expected a map");
         }
@@ -45,7 +50,26 @@
     }
 
     public static Object decode(byte[] body) throws WireException {
-        try (JsonParser parser = FACTORY.createParser(body)) {
+        return decode(FACTORY, body, "CBOR");
+    }
+
+    /** The same values written as JSON, for people; no interface carries it. */
+    public static Map<String, Object> decodeJsonMap(byte[] text) throws WireException {
+        return map(decode(new JsonFactory(), text, "JSON"));
+    }
+
+    public static String toJson(Object value) {
+        StringWriter out = new StringWriter();
+        try (JsonGenerator generator = new JsonFactory().createGenerator(out)) {
+            write(generator, value);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return out.toString();
+    }
+
+    private static Object decode(JsonFactory factory, byte[] body, String format) throws WireException {
+        try (JsonParser parser = factory.createParser(body)) {
             JsonToken token = parser.nextToken();
             if (token == null) {
                 throw new WireException("body: empty");
@@ -56,7 +80,7 @@
             }
             return value;
         } catch (IOException | ArithmeticException | IllegalArgumentException e) {
-            throw new WireException("body: not CBOR");
+            throw new WireException("body: not " + format);
         }
     }
 
