--- a/src/main/java/org/woadloom/http/Response.java
+++ b/src/main/java/org/woadloom/http/Response.java
@@ -1,6 +1,7 @@
 package org.woadloom.http;
 
 import com.google.common.collect.ImmutableMap;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import org.woadloom.wire.Cbor;
 
@@ -12,12 +13,17 @@
         return new Response(status, Cbor.encode(body), CBOR, 0);
     }
 
+    /** A body that is CBOR already. */
+    public static Response cbor(int status, byte[] body) {
+        return new Response(status, body, CBOR, 0);
+    }
+
     public static Response error(int status, String text) {
         return of(status, ImmutableMap.of("error", text));
     }
 
     public static Response text(String text) {
-        return new Response(200, text.getBytes(java.nio.charset.StandardCharsets.UTF_8), "text/plain", 0);
+        return new Response(200, text.getBytes(StandardCharsets.UTF_8), "text/plain", 0);
     }
 
     /** The service can't answer now; the sender is told when to come back. */
--- a/src/main/java/org/woadloom/leader/Election.java
+++ b/src/main/java/org/woadloom/leader/Election.java
@@ -70,6 +70,11 @@
         return leads() ? label : current == null ? null : current.label();
     }
 
+    /** The term of the leader as far as known, 0 for none. */
+    public long knownTerm() {
+        return current == null ? 0 : current.term();
+    }
+
     private void look() {
         state.get(Urgency.URGENT, Keys.LEADER, (result, entry, generation) -> {
             if (result == Result.OK) {
--- a/src/main/java/org/woadloom/node/Node.java
+++ b/src/main/java/org/woadloom/node/Node.java
@@ -1,5 +1,7 @@
 package org.woadloom.node;
 
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
 import com.google.common.collect.ImmutableMap;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -20,6 +22,7 @@
 import org.woadloom.leader.Election;
 import org.woadloom.net.HttpTransport;
 import org.woadloom.net.Loop;
+import org.woadloom.peer.PeerNet;
 import org.woadloom.settings.OperatorSettings;
 import org.woadloom.settings.ServiceSettings;
 import org.woadloom.state.JobRecord;
@@ -29,6 +32,7 @@
 import org.woadloom.state.StateClient.Result;
 import org.woadloom.state.StateClient.Urgency;
 import org.woadloom.wire.Cbor;
+import org.woadloom.wire.Fields;
 import org.woadloom.wire.MachineType;
 import org.woadloom.wire.WireException;
 import org.woadloom.wire.WorkerReport;
@@ -38,6 +42,9 @@
 public final class Node {
     private static final Logger LOG = LoggerFactory.getLogger(Node.class);
     private static final long TYPES_RETRY_MICROS = 1_000_000;
+    private static final long LOADING_MICROS = 1_000_000;
+    private static final long LOADING_POLL_MICROS = 20_000;
+    private static final long RETURN_MICROS = 12_000_000;
 
     private final Loop loop;
     private final ServiceSettings settings;
@@ -47,9 +54,14 @@
     private final LeaderDuties duties;
     private final CommandQueue queue;
     private final Router router;
+    private final PeerLinks peers;
+    /** When each worker was last sent to the leader; one that comes back can't reach it. */
+    private final Cache<String, Long> redirected = Caffeine.newBuilder().maximumSize(10_000)
+            .executor(Runnable::run).build();
     private List<MachineType> types = List.of();
 
-    public Node(Loop loop, HttpTransport transport, ServiceSettings settings, OperatorSettings operator, Random random) {
+    public Node(Loop loop, HttpTransport transport, PeerNet net, ServiceSettings settings,
+            OperatorSettings operator, Random random) {
         this.loop = loop;
         this.settings = settings;
         state = new StateClient(loop, transport, settings, random);
@@ -68,6 +80,17 @@
                 duties.end();
             }
         });
+        peers = new PeerLinks(loop, net, election, new PeerLinks.Inbox() {
+            @Override
+            public void hint(JobRecord record, long stamp) {
+                tellCore(record, stamp);
+            }
+
+            @Override
+            public void carried(byte[] report, Consumer<Response> answer) {
+                decide(report, answer);
+            }
+        });
         router = new Router(new JobApi(loop, state, settings, () -> types, this::changed), this::report,
                 () -> "");
     }
@@ -79,6 +102,7 @@
     public void start() {
         LOG.info("node {} in {} starts", settings.label(), settings.area());
         election.start();
+        peers.start();
         readTypes();
     }
 
@@ -86,7 +110,17 @@
         election.stepDown(reason);
     }
 
+    /** A job that this node made durable: the leader is told, and would find it by its watch as well. */
     private void changed(JobRecord record, long stamp) {
+        String leader = election.leader();
+        if (election.leads()) {
+            tellCore(record, stamp);
+        } else if (leader != null) {
+            peers.hint(leader, record, stamp);
+        }
+    }
+
+    private void tellCore(JobRecord record, long stamp) {
         if (duties.ready()) {
             queue.offer(new Command.JobSeen(record, stamp));
         }
@@ -128,14 +162,46 @@
                 });
     }
 
+    /** Only the leader decides a report; the others send its worker there, or carry it. */
     private void report(byte[] body, Consumer<Response> answer) {
+        if (election.leads()) {
+            decide(body, answer);
+            return;
+        }
+        String leader = election.leader();
+        if (leader == null || leader.equals(settings.label())) {
+            answer.accept(Response.of(421, Map.of()));
+            return;
+        }
+        String host;
+        try {
+            host = new Fields(Cbor.decodeMap(body)).text("host");
+        } catch (WireException e) {
+            answer.accept(Response.error(400, e.getMessage()));
+            return;
+        }
+        long now = loop.nowMicros();
+        Long before = redirected.getIfPresent(host);
+        if (before != null && now - before < RETURN_MICROS && peers.reaches(leader)) {
+            peers.carry(leader, body, answer);
+            return;
+        }
+        redirected.put(host, now);
+        answer.accept(Response.of(421, Map.of("overseer", leader)));
+    }
+
+    private void decide(byte[] body, Consumer<Response> answer) {
+        decide(body, answer, loop.nowMicros() + LOADING_MICROS);
+    }
+
+    private void decide(byte[] body, Consumer<Response> answer, long untilMicros) {
+        if (election.leads() && !duties.ready() && loop.nowMicros() < untilMicros) {
+            // The records are being read; sent away now, the worker would be a second or more without its leader.
+            loop.schedule(LOADING_POLL_MICROS, () -> decide(body, answer, untilMicros));
+            return;
+        }
         if (!election.leads() || !duties.ready()) {
-            String leader = election.leader();
-            Map<String, Object> map = new LinkedHashMap<>();
-            if (leader != null && !leader.equals(settings.label())) {
-                map.put("overseer", leader);
-            }
-            answer.accept(Response.of(421, map));
+            answer.accept(Response.of(421, Map.of()));
             return;
         }
         WorkerReport report;
@@ -145,7 +211,7 @@
             answer.accept(Response.error(400, e.getMessage()));
             return;
         }
-        duties.report(report, decided -> answer.accept(decided == null ? Response.unavailable("overloaded")
+        duties.report(report, decided -> answer.accept(decided == null ? Response.unavailable("not the leader any more")
                 : reply(decided)));
     }
 
--- /dev/null
+++ b/src/main/java/org/woadloom/node/PeerLinks.java
@@ -0,0 +1,147 @@
+package org.woadloom.node;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.woadloom.http.Response;
+import org.woadloom.leader.Election;
+import org.woadloom.net.Loop;
+import org.woadloom.peer.PeerMessage;
+import org.woadloom.peer.PeerNet;
+import org.woadloom.state.JobRecord;
+import org.woadloom.wire.Cbor;
+import org.woadloom.wire.WireException;
+
+/** What this node knows of the others' reach, and what it has them carry. */
+final class PeerLinks implements PeerNet.Listener {
+    private static final Logger LOG = LoggerFactory.getLogger(PeerLinks.class);
+    private static final long PING_MICROS = 700_000;
+    private static final long REACH_MICROS = 2_500_000;
+    private static final long CARRY_MICROS = 3_500_000;
+    private static final int REFUSALS = 2;
+
+    /** What arrives for this node. */
+    interface Inbox {
+        void hint(JobRecord record, long stamp);
+
+        void carried(byte[] report, Consumer<Response> answer);
+    }
+
+    private final Loop loop;
+    private final PeerNet net;
+    private final Election election;
+    private final Inbox inbox;
+    private final Map<String, Link> links = new HashMap<>();
+    private final Map<Long, Consumer<Response>> carrying = new HashMap<>();
+    private long ids;
+
+    private static final class Link {
+        boolean connected;
+        long heardMicros = Long.MIN_VALUE / 2;
+        /** The leader's term during which a connection to it stood. */
+        long connectedInTerm;
+        int refusals;
+    }
+
+    PeerLinks(Loop loop, PeerNet net, Election election, Inbox inbox) {
+        this.loop = loop;
+        this.net = net;
+        this.election = election;
+        this.inbox = inbox;
+    }
+
+    void start() {
+        net.start(this);
+        ping();
+    }
+
+    private void ping() {
+        String leader = election.leader();
+        if (leader != null && !election.leads()) {
+            Link link = link(leader);
+            if (link.connected) {
+                link.connectedInTerm = election.knownTerm();
+            }
+            net.send(leader, new PeerMessage.Ping(++ids));
+        }
+        loop.schedule(PING_MICROS, this::ping);
+    }
+
+    private Link link(String label) {
+        return links.computeIfAbsent(label, l -> new Link());
+    }
+
+    /** True if the peer answered lately over the direct link. */
+    boolean reaches(String label) {
+        Link link = link(label);
+        return link.connected && loop.nowMicros() - link.heardMicros < REACH_MICROS;
+    }
+
+    void hint(String leader, JobRecord record, long stamp) {
+        net.send(leader, new PeerMessage.Hint(Cbor.encode(record.toMap()), stamp));
+    }
+
+    /** Has the leader decide a report; the answer is 503 if none comes while the worker waits. */
+    void carry(String leader, byte[] report, Consumer<Response> answer) {
+        long id = ++ids;
+        carrying.put(id, answer);
+        net.send(leader, new PeerMessage.Carry(id, report));
+        loop.schedule(CARRY_MICROS, () -> {
+            Consumer<Response> waiting = carrying.remove(id);
+            if (waiting != null) {
+                waiting.accept(Response.unavailable("the leader does not answer"));
+            }
+        });
+    }
+
+    @Override
+    public void received(String from, PeerMessage message) {
+        link(from).heardMicros = loop.nowMicros();
+        if (message instanceof PeerMessage.Ping ping) {
+            net.send(from, new PeerMessage.Pong(ping.id()));
+        } else if (message instanceof PeerMessage.Hint hint) {
+            try {
+                inbox.hint(JobRecord.parse(Cbor.decodeMap(hint.record())), hint.stamp());
+            } catch (WireException e) {
+                LOG.error("a hint of {} can't be read: {}", from, e.getMessage());
+            }
+        } else if (message instanceof PeerMessage.Carry carry) {
+            inbox.carried(carry.report(), response -> net.send(from,
+                    new PeerMessage.Carried(carry.id(), response.status(), response.body())));
+        } else if (message instanceof PeerMessage.Carried carried) {
+            Consumer<Response> waiting = carrying.remove(carried.id());
+            if (waiting != null) {
+                waiting.accept(Response.cbor(carried.status(), carried.answer()));
+            }
+        }
+    }
+
+    @Override
+    public void connected(String label) {
+        Link link = link(label);
+        link.connected = true;
+        link.refusals = 0;
+        link.heardMicros = loop.nowMicros();
+        if (label.equals(election.leader())) {
+            link.connectedInTerm = election.knownTerm();
+        }
+    }
+
+    @Override
+    public void lost(String label, boolean refused) {
+        Link link = link(label);
+        link.connected = false;
+        if (!refused) {
+            return;
+        }
+        link.refusals++;
+        // A leader that we could reach in its term, and that refuses now, is most likely dead. If it only refuses us,
+        // it will lead again in a term in which we never reached it, and then its grant decides: no ping-pong.
+        if (link.refusals >= REFUSALS && label.equals(election.leader())
+                && link.connectedInTerm == election.knownTerm()) {
+            election.takeOverFrom(label);
+        }
+    }
+}
--- a/src/main/java/org/woadloom/node/Server.java
+++ b/src/main/java/org/woadloom/node/Server.java
@@ -3,11 +3,12 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.util.Random;
 import org.woadloom.http.ApiServer;
+import org.woadloom.net.Addresses;
 import org.woadloom.net.UndertowTransport;
 import org.woadloom.net.XnioLoop;
+import org.woadloom.peer.XnioPeerNet;
 import org.woadloom.settings.OperatorSettings;
 import org.woadloom.settings.ServiceSettings;
 import org.xnio.OptionMap;
@@ -35,15 +36,12 @@
         XnioLoop loop = new XnioLoop(thread);
         UndertowTransport transport = new UndertowTransport(loop, thread, buffers);
         Random random = new Random(System.nanoTime() ^ settings.label().hashCode());
-        Node node = new Node(loop, transport, settings, operator, random);
+        XnioPeerNet peers = new XnioPeerNet(loop, worker, settings);
+        Node node = new Node(loop, transport, peers, settings, operator, random);
         int maxConnections = settings.resources().fdLimit() * 7 / 10;
-        new ApiServer(address(settings.bind()), worker, buffers, maxConnections, node.router()).start();
+        new ApiServer(Addresses.parse(settings.bind()), worker, buffers, maxConnections, node.router()).start();
+        peers.bind();
         loop.execute(node::start);
         return node;
     }
-
-    private static InetSocketAddress address(String text) {
-        int colon = text.lastIndexOf(':');
-        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
-    }
 }
--- /dev/null
+++ b/src/main/java/org/woadloom/peer/PeerCodec.java
@@ -0,0 +1,103 @@
+package org.woadloom.peer;
+
+import com.esotericsoftware.kryo.Kryo;
+import com.esotericsoftware.kryo.KryoException;
+import com.esotericsoftware.kryo.Serializer;
+import com.esotericsoftware.kryo.io.Input;
+import com.esotericsoftware.kryo.io.Output;
+import java.util.function.BiConsumer;
+import java.util.function.Function;
+
+/** Messages between nodes as Kryo writes them; only the registered classes can be read. Used by one thread. */
+public final class PeerCodec {
+    static final int MAX_FRAME = 256 * 1024;
+    private static final int MAX_BYTES = 128 * 1024;
+
+    private final Kryo kryo = new Kryo();
+
+    public PeerCodec() {
+        kryo.setRegistrationRequired(true);
+        kryo.setReferences(false);
+        register(PeerMessage.Hello.class, 10, (out, m) -> out.writeString(m.label()),
+                in -> new PeerMessage.Hello(in.readString()));
+        register(PeerMessage.Ping.class, 11, (out, m) -> out.writeLong(m.id()),
+                in -> new PeerMessage.Ping(in.readLong()));
+        register(PeerMessage.Pong.class, 12, (out, m) -> out.writeLong(m.id()),
+                in -> new PeerMessage.Pong(in.readLong()));
+        register(PeerMessage.Hint.class, 13, (out, m) -> {
+            out.writeLong(m.stamp());
+            writeBytes(out, m.record());
+        }, in -> {
+            long stamp = in.readLong();
+            return new PeerMessage.Hint(readBytes(in), stamp);
+        });
+        register(PeerMessage.Carry.class, 14, (out, m) -> {
+            out.writeLong(m.id());
+            writeBytes(out, m.report());
+        }, in -> {
+            long id = in.readLong();
+            return new PeerMessage.Carry(id, readBytes(in));
+        });
+        register(PeerMessage.Carried.class, 15, (out, m) -> {
+            out.writeLong(m.id());
+            out.writeInt(m.status());
+            writeBytes(out, m.answer());
+        }, in -> {
+            long id = in.readLong();
+            int status = in.readInt();
+            return new PeerMessage.Carried(id, status, readBytes(in));
+        });
+    }
+
+    private <T> void register(Class<T> type, int id, BiConsumer<Output, T> writer, Function<Input, T> reader) {
+        kryo.register(type, new Serializer<T>() {
+            @Override
+            public void write(Kryo k, Output out, T message) {
+                writer.accept(out, message);
+            }
+
+            @Override
+            public T read(Kryo k, Input in, Class<? extends T> c) {
+                return reader.apply(in);
+            }
+        }, id);
+    }
+
+    private static void writeBytes(Output out, byte[] bytes) {
+        out.writeInt(bytes.length);
+        out.writeBytes(bytes);
+    }
+
+    private static byte[] readBytes(Input in) {
+        int length = in.readInt();
+        if (length < 0 || length > MAX_BYTES) {
+            throw new KryoException("a field of " + length + " bytes");
+        }
+        return in.readBytes(length);
+    }
+
+    /** The message behind its length. */
+    public byte[] encode(PeerMessage message) {
+        Output out = new Output(256, MAX_FRAME);
+        out.writeInt(0);
+        kryo.writeClassAndObject(out, message);
+        int length = out.position() - Integer.BYTES;
+        out.setPosition(0);
+        out.writeInt(length);
+        out.setPosition(length + Integer.BYTES);
+        return out.toBytes();
+    }
+
+    /** Reads what a frame holds behind its length. */
+    public PeerMessage decode(byte[] frame) throws PeerFormatException {
+        try {
+            Object message = kryo.readClassAndObject(new Input(frame));
+            if (message instanceof PeerMessage known) {
+                return known;
+            }
+        } catch (KryoException | IllegalArgumentException | IndexOutOfBoundsException e) {
+            throw new PeerFormatException("not a message of a peer: " + e.getMessage());
+        }
+        throw new PeerFormatException("not a message of a peer");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/peer/PeerMessage.java
@@ -0,0 +1,27 @@
+package org.woadloom.peer;
+
+/** What controller nodes say to one another. Losing one costs time and never safety. */
+public sealed interface PeerMessage {
+    /** The first message on a connection: who speaks. */
+    record Hello(String label) implements PeerMessage {
+    }
+
+    /** Asks for a {@link Pong}, so that a silent cut is noticed. */
+    record Ping(long id) implements PeerMessage {
+    }
+
+    record Pong(long id) implements PeerMessage {
+    }
+
+    /** A job's record, as CBOR, that this node has just made durable. */
+    record Hint(byte[] record, long stamp) implements PeerMessage {
+    }
+
+    /** A worker's report, carried to the leader for a worker that can't reach it. */
+    record Carry(long id, byte[] report) implements PeerMessage {
+    }
+
+    /** The leader's answer to a carried report. */
+    record Carried(long id, int status, byte[] answer) implements PeerMessage {
+    }
+}
--- /dev/null
+++ b/src/main/java/org/woadloom/peer/PeerNet.java
@@ -0,0 +1,18 @@
+package org.woadloom.peer;
+
+/** Connections to the other nodes. Messages to a peer that is not connected are dropped. */
+public interface PeerNet {
+    /** Hears what happens, on the loop. */
+    interface Listener {
+        void received(String from, PeerMessage message);
+
+        void connected(String label);
+
+        /** A connection ended, or could not be made; {@code refused} if the other side said so at once. */
+        void lost(String label, boolean refused);
+    }
+
+    void start(Listener listener);
+
+    void send(String label, PeerMessage message);
+}
