A session first seen in a direct command's body has its full lease; simulator with rule checker

The leader judged the lease over by its last answer, but a session that it had first seen in the body of a direct command had not been answered yet and its lease ran from its own start. Guard: a new session counts as answered when it is first seen. Also: a late hint could bring back a finished job whose planned tasks then counted against the team for ever.

--- a/src/main/java/org/woadloom/core/jobs/Job.java
+++ b/src/main/java/org/woadloom/core/jobs/Job.java
@@ -30,6 +30,8 @@
     private final Int2ObjectHashMap<Placement> placements = new Int2ObjectHashMap<>();
     private final Map<String, Integer> perYard = new LinkedHashMap<>();
     public boolean cancelled;
+    /** The final state is in the store, and the job is no longer among those of the core. */
+    public boolean finished;
     public int failures;
     public long notBeforeMicros;
     /** Machines on which tasks of the job ended with an error. */
@@ -57,7 +59,7 @@
 
     /** True when nothing is left to run: only tasks that must go may still be somewhere. */
     public boolean over() {
-        return cancelled || allDone();
+        return finished || cancelled || allDone();
     }
 
     public Collection<Placement> placements() {
--- a/src/main/java/org/woadloom/core/jobs/JobTable.java
+++ b/src/main/java/org/woadloom/core/jobs/JobTable.java
@@ -84,8 +84,17 @@
         }
     }
 
+    /**
+     * The job's final state is in the store. A late hint can bring back a job that is over; what was planned for it then
+     * was never launched, as its record can't be written, and must not go on counting.
+     */
     public void finished(Job job) {
+        for (Placement placement : new ArrayList<>(job.placements())) {
+            job.remove(placement);
+        }
+        job.finished = true;
         world.jobs.remove(job.uid());
+        world.placementWorthTrying = true;
     }
 
     private Job create(JobRecord record, long stamp) {
--- a/src/main/java/org/woadloom/core/machines/Reports.java
+++ b/src/main/java/org/woadloom/core/machines/Reports.java
@@ -93,6 +93,9 @@
             machine.takenMicros = world.nowMicros + report.warningMicros();
         }
         if (newSession) {
+            // The new session's lease runs from its start, which may be later than our last answer: a session that is
+            // first seen in the body of a direct command has not been answered at all.
+            machine.lastAnsweredMicros = Math.max(machine.lastAnsweredMicros, world.nowMicros);
             newSession(machine);
         }
         Map<TaskId, TaskReport> listed = new LinkedHashMap<>();
--- a/src/main/java/org/woadloom/http/JobApi.java
+++ b/src/main/java/org/woadloom/http/JobApi.java
@@ -112,7 +112,7 @@
         if (team == null) {
             return Response.error(422, "crew: unknown team");
         }
-        int together = job.service() ? job.shards() : 1;
+        int together = job.service() || job.gang() ? job.shards() : 1;
         if (job.vcpus() * together > team.cpusMax() + 1e-9 || job.cards() * together > team.gpusMax() + 1e-9) {
             return Response.error(422, "the job needs more than the team's limit");
         }
--- /dev/null
+++ b/src/test/java/org/woadloom/sim/CloudStandIn.java
@@ -0,0 +1,117 @@
+package org.woadloom.sim;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The cloud, written from the protocol; its list lags. */
+final class CloudStandIn {
+    private static final int CAPACITY = 14;
+
+    private final World world;
+    final Map<String, WorkerStandIn> machines = new LinkedHashMap<>();
+    private final Map<String, String[]> booting = new LinkedHashMap<>();
+    private final Map<String, List<Object>> claims = new LinkedHashMap<>();
+    private List<Object> shown = new ArrayList<>();
+    private int names;
+    boolean down;
+
+    CloudStandIn(World world) {
+        this.world = world;
+        refresh();
+    }
+
+    private void refresh() {
+        List<Object> now = new ArrayList<>();
+        for (Map.Entry<String, String[]> entry : booting.entrySet()) {
+            now.add(item(entry.getKey(), entry.getValue(), "booting"));
+        }
+        for (WorkerStandIn worker : machines.values()) {
+            now.add(item(worker.host, new String[] {worker.hosttype, worker.yard, "" + worker.reclaimable},
+                    worker.dead ? "failed" : "running"));
+        }
+        world.loop.after(1_000_000 + world.random.nextInt(3_000_000), () -> shown = now);
+        world.loop.after(1_000_000, this::refresh);
+    }
+
+    private static Map<String, Object> item(String host, String[] kind, String status) {
+        Map<String, Object> map = new LinkedHashMap<>();
+        map.put("uid", host);
+        map.put("addr", host + ":9000");
+        map.put("hosttype", kind[0]);
+        map.put("yard", kind[1]);
+        map.put("reclaimable", Boolean.parseBoolean(kind[2]));
+        map.put("status", status);
+        map.put("heldS", 5.0);
+        return map;
+    }
+
+    void handle(String method, String path, Map<String, Object> body, StateStandIn.Answer answer) {
+        if (down) {
+            answer.answer(503, Map.of("error", "trouble"));
+        } else if (path.equals("/machine_types")) {
+            answer.answer(200, Map.of("hosttypes", List.of(type("small", 8.0, 0.5), type("large", 32.0, 2.0))));
+        } else if (path.equals("/machines/delete")) {
+            for (Object host : (List<?>) body.get("hosts")) {
+                booting.remove(host);
+                WorkerStandIn worker = machines.remove(host);
+                if (worker != null) {
+                    worker.die();
+                }
+            }
+            answer.answer(200, Map.of());
+        } else if (method.equals("GET")) {
+            answer.answer(200, Map.of("hosts", shown, "more", false));
+        } else {
+            rent(body, answer);
+        }
+    }
+
+    private static Map<String, Object> type(String name, double vcpus, double rate) {
+        Map<String, Object> map = new LinkedHashMap<>();
+        map.put("name", name);
+        map.put("vcpus", vcpus);
+        map.put("cards", 0.0);
+        map.put("ramGb", vcpus * 4);
+        map.put("cacheGb", 50.0);
+        map.put("pullGbPerS", 1.0);
+        map.put("rate", rate);
+        map.put("marketPrice", rate / 4);
+        map.put("readyS", 8.0);
+        map.put("yards", List.of("a", "b"));
+        return map;
+    }
+
+    private void rent(Map<String, Object> body, StateStandIn.Answer answer) {
+        String claim = (String) body.get("claim");
+        if (claims.containsKey(claim)) {
+            answer.answer(200, Map.of("hosts", claims.get(claim)));
+            return;
+        }
+        List<Object> hosts = new ArrayList<>();
+        for (long i = 0; i < (Long) body.get("count") && machines.size() + booting.size() < CAPACITY; i++) {
+            String host = String.format("host-%06d", names++);
+            hosts.add(host);
+            booting.put(host, new String[] {(String) body.get("hosttype"), (String) body.get("yard"),
+                    "" + body.get("reclaimable")});
+            if (world.random.nextInt(12) > 0) {
+                world.loop.after(2_000_000 + world.random.nextInt(12_000_000), () -> boot(host));
+            }
+        }
+        if (hosts.isEmpty()) {
+            answer.answer(503, Map.of("error", "no capacity"));
+            return;
+        }
+        claims.put(claim, hosts);
+        answer.answer(200, Map.of("hosts", hosts));
+    }
+
+    private void boot(String host) {
+        String[] kind = booting.remove(host);
+        if (kind != null) {
+            machines.put(host, new WorkerStandIn(world, host, kind[0], kind[1], Boolean.parseBoolean(kind[2]),
+                    kind[0].equals("small") ? 8 : 32));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/woadloom/sim/RandomDaysTest.java
@@ -0,0 +1,47 @@
+package org.woadloom.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Seeded random days with every trouble the stand-ins know; the rules are checked after each step. */
+class RandomDaysTest {
+    private static final long LEASE = 10_000_000;
+    private static final long TROUBLED = 180_000_000;
+    private static final long QUIET = 600_000_000;
+
+    /** A few by default, so that every build tries the same days; {@code -Dseeds=500} tries more. */
+    static LongStream seeds() {
+        return LongStream.rangeClosed(1, Long.getLong("seeds", 12));
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void rulesHoldAndEveryAcceptedJobIsFinished(long seed) {
+        World world = new World(seed, LEASE);
+        world.users(TROUBLED);
+        world.faults(TROUBLED);
+        world.run(TROUBLED + QUIET);
+        assertTrue(world.truth.starts > 50, "only " + world.truth.starts + " starts");
+        assertEquals(List.of(), world.unfinished());
+    }
+
+    /** The checker must be able to fail: nodes that believe in a shorter lease than the workers' start tasks twice. */
+    @Test
+    void aServiceThatTrustsTooShortALeaseIsCaught() {
+        assertThrows(Violation.class, () -> {
+            for (long seed = 1; seed <= 12; seed++) {
+                World world = new World(seed, LEASE / 8);
+                world.users(TROUBLED);
+                world.faults(TROUBLED);
+                world.run(TROUBLED);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/test/java/org/woadloom/sim/SimLoop.java
@@ -0,0 +1,44 @@
+package org.woadloom.sim;
+
+import java.util.PriorityQueue;
+import org.woadloom.net.Loop;
+
+/** Virtual time: tasks run in the order of their times, and of their making where those are equal. */
+final class SimLoop {
+    private record Task(long at, long order, Runnable run, boolean[] cancelled) {
+    }
+
+    private final PriorityQueue<Task> tasks = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at)
+            : Long.compare(a.order, b.order));
+    private long now;
+    private long order;
+
+    long now() {
+        return now;
+    }
+
+    Loop.Timer at(long time, Runnable run) {
+        boolean[] cancelled = {false};
+        tasks.add(new Task(Math.max(now, time), ++order, run, cancelled));
+        return () -> cancelled[0] = true;
+    }
+
+    Loop.Timer after(long delay, Runnable run) {
+        return at(now + delay, run);
+    }
+
+    /** Runs the next task; false if there is none before the given time. */
+    boolean step(long until) {
+        Task next = tasks.peek();
+        if (next == null || next.at > until) {
+            now = until;
+            return false;
+        }
+        tasks.poll();
+        now = next.at;
+        if (!next.cancelled[0]) {
+            next.run.run();
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/woadloom/sim/StateStandIn.java
@@ -0,0 +1,227 @@
+package org.woadloom.sim;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** The state service, written from the protocol. */
+final class StateStandIn {
+    private record Entry(Object value, long stamp, long grant) {
+    }
+
+    private record Change(String path, Object value, long stamp) {
+    }
+
+    private final SimLoop loop;
+    private final TreeMap<String, Entry> entries = new TreeMap<>();
+    private final List<Change> changes = new ArrayList<>();
+    private final Map<Long, long[]> grants = new LinkedHashMap<>();
+    private final List<Runnable> watchers = new ArrayList<>();
+    private long generation;
+    private long grantIds;
+    boolean down;
+
+    StateStandIn(SimLoop loop) {
+        this.loop = loop;
+    }
+
+    interface Answer {
+        void answer(int status, Map<String, Object> body);
+    }
+
+    void outage(boolean begins) {
+        down = begins;
+        if (!begins) {
+            // After an outage every lease has its full time again.
+            for (Map.Entry<Long, long[]> grant : new ArrayList<>(grants.entrySet())) {
+                grant.getValue()[1] = loop.now() + grant.getValue()[0];
+                expireLater(grant.getKey());
+            }
+            wake();
+        }
+    }
+
+    Map<String, Object> value(String path) {
+        Entry entry = entries.get(path);
+        @SuppressWarnings("unchecked")
+        Map<String, Object> value = entry == null ? null : (Map<String, Object>) entry.value;
+        return value;
+    }
+
+    void handle(String method, String path, Map<String, Object> body, Answer answer) {
+        if (path.startsWith("/follow?")) {
+            follow(path, loop.now() + Long.parseLong(parameter(path, "blockMs")) * 1000, answer);
+        } else if (down) {
+            answer.answer(503, Map.of("error", "trouble"));
+        } else if (path.startsWith("/keys/")) {
+            get(path.substring(6), answer);
+        } else if (path.startsWith("/keys?")) {
+            list(path, answer);
+        } else if (path.equals("/txn")) {
+            txn(body, answer);
+        } else if (path.equals("/grants")) {
+            long id = ++grantIds;
+            long life = (Long) body.get("lifeMs") * 1000;
+            grants.put(id, new long[] {life, loop.now() + life});
+            expireLater(id);
+            answer.answer(200, Map.of("hold", id));
+        } else if (path.endsWith("/renew")) {
+            long[] grant = grants.get(Long.parseLong(path.split("/")[2]));
+            if (grant == null) {
+                answer.answer(404, Map.of());
+            } else {
+                grant[1] = loop.now() + grant[0];
+                expireLater(Long.parseLong(path.split("/")[2]));
+                answer.answer(200, Map.of());
+            }
+        } else {
+            throw new IllegalStateException(method + " " + path);
+        }
+    }
+
+    private void expireLater(long id) {
+        loop.at(grants.get(id)[1], () -> {
+            long[] grant = grants.get(id);
+            if (grant == null || down || loop.now() < grant[1]) {
+                return;
+            }
+            grants.remove(id);
+            List<String> gone = new ArrayList<>();
+            entries.forEach((path, entry) -> {
+                if (entry.grant == id) {
+                    gone.add(path);
+                }
+            });
+            if (!gone.isEmpty()) {
+                generation++;
+                gone.forEach(this::drop);
+                wake();
+            }
+        });
+    }
+
+    private void drop(String path) {
+        if (entries.remove(path) != null) {
+            changes.add(new Change(path, null, generation));
+        }
+    }
+
+    private void get(String path, Answer answer) {
+        Entry entry = entries.get(path);
+        if (entry == null) {
+            answer.answer(404, Map.of("generation", generation));
+        } else {
+            answer.answer(200, item(path, entry));
+        }
+    }
+
+    private static Map<String, Object> item(String path, Entry entry) {
+        Map<String, Object> item = new LinkedHashMap<>();
+        item.put("path", path);
+        item.put("value", entry.value);
+        item.put("stamp", entry.stamp);
+        return item;
+    }
+
+    private static String parameter(String path, String name) {
+        for (String part : path.substring(path.indexOf('?') + 1).split("&")) {
+            if (part.startsWith(name + "=")) {
+                return part.substring(name.length() + 1);
+            }
+        }
+        return "";
+    }
+
+    private void list(String path, Answer answer) {
+        String prefix = parameter(path, "prefix");
+        String since = parameter(path, "since");
+        // Small pages, so that readers meet the second one.
+        int most = Math.min(7, Integer.parseInt(parameter(path, "most")));
+        List<Object> items = new ArrayList<>();
+        boolean more = false;
+        for (Map.Entry<String, Entry> entry : entries.tailMap(since.isEmpty() ? prefix : since, since.isEmpty())
+                .entrySet()) {
+            if (!entry.getKey().startsWith(prefix)) {
+                break;
+            }
+            if (items.size() == most) {
+                more = true;
+                break;
+            }
+            items.add(item(entry.getKey(), entry.getValue()));
+        }
+        answer.answer(200, Map.of("items", items, "more", more, "generation", generation));
+    }
+
+    private void txn(Map<String, Object> body, Answer answer) {
+        List<Object> failed = new ArrayList<>();
+        for (Object item : (List<?>) body.get("if")) {
+            Map<?, ?> condition = (Map<?, ?>) item;
+            Entry entry = entries.get((String) condition.get("path"));
+            if ((Long) condition.get("stamp") != (entry == null ? 0 : entry.stamp)) {
+                failed.add(condition.get("path"));
+            }
+        }
+        for (Object item : (List<?>) body.get("then")) {
+            if (((Map<?, ?>) item).get("hold") instanceof Long grant && !grants.containsKey(grant)) {
+                answer.answer(400, Map.of("error", "no such lease"));
+                return;
+            }
+        }
+        if (!failed.isEmpty()) {
+            answer.answer(409, Map.of("failed", failed, "generation", generation));
+            return;
+        }
+        generation++;
+        for (Object item : (List<?>) body.get("then")) {
+            Map<?, ?> change = (Map<?, ?>) item;
+            if (change.get("put") instanceof String path) {
+                entries.put(path, new Entry(change.get("value"), generation,
+                        change.get("hold") instanceof Long grant ? grant : 0));
+                changes.add(new Change(path, change.get("value"), generation));
+            } else {
+                drop((String) change.get("drop"));
+            }
+        }
+        answer.answer(200, Map.of("generation", generation));
+        wake();
+    }
+
+    private void wake() {
+        List<Runnable> waiting = new ArrayList<>(watchers);
+        watchers.clear();
+        waiting.forEach(Runnable::run);
+    }
+
+    private void follow(String path, long until, Answer answer) {
+        String prefix = parameter(path, "prefix");
+        long since = Long.parseLong(parameter(path, "since"));
+        List<Object> events = new ArrayList<>();
+        for (Change change : changes) {
+            if (change.stamp > since && change.path.startsWith(prefix)) {
+                Map<String, Object> event = new LinkedHashMap<>();
+                event.put(change.value == null ? "drop" : "put", change.path);
+                event.put("value", change.value);
+                event.put("stamp", change.stamp);
+                events.add(event);
+            }
+        }
+        if (!down && (!events.isEmpty() || loop.now() >= until)) {
+            answer.answer(200, Map.of("generation", generation, "events", events));
+            return;
+        }
+        boolean[] done = {false};
+        Runnable again = () -> {
+            if (!done[0]) {
+                done[0] = true;
+                follow(path, until, answer);
+            }
+        };
+        watchers.add(again);
+        if (loop.now() < until) {
+            loop.at(until, again);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/woadloom/sim/Truth.java
@@ -0,0 +1,148 @@
+package org.woadloom.sim;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import org.woadloom.settings.ServiceSettings;
+import org.woadloom.settings.Team;
+import org.woadloom.wire.JobDescription;
+import org.woadloom.wire.TaskId;
+
+/** What really happens in the simulated world, and the rules, checked at each step. */
+final class Truth {
+    private final SimLoop loop;
+    private final ServiceSettings settings;
+    final Map<String, JobDescription> submitted = new LinkedHashMap<>();
+    private final Map<String, Long> accepted = new LinkedHashMap<>();
+    private final Map<String, Long> toldCancelled = new HashMap<>();
+    private final Set<String> askedToCancel = new HashSet<>();
+    private final Map<String, String> toldFinal = new HashMap<>();
+    private final Map<String, Long> toldFinalAt = new HashMap<>();
+    private final Map<TaskId, WorkerStandIn> on = new LinkedHashMap<>();
+    private final Set<TaskId> done = new HashSet<>();
+    int starts;
+
+    Truth(SimLoop loop, ServiceSettings settings) {
+        this.loop = loop;
+        this.settings = settings;
+    }
+
+    void started(TaskId task, WorkerStandIn worker) {
+        starts++;
+        JobDescription job = submitted.get(task.uid());
+        WorkerStandIn other = on.get(task);
+        if (other != null && other != worker) {
+            throw new Violation("ran_twice", task + " starts on " + worker.host + " while on " + other.host);
+        }
+        if (job.hosttypes() != null && !job.hosttypes().contains(worker.hosttype)
+                || job.yard() != null && !job.yard().equals(worker.yard) || worker.reclaimable && !job.reclaimable()) {
+            throw new Violation("wrong_place", task + " on " + worker.host);
+        }
+        int sameYard = 1;
+        for (Map.Entry<TaskId, WorkerStandIn> entry : on.entrySet()) {
+            if (!entry.getKey().uid().equals(task.uid()) || entry.getKey().equals(task)) {
+                continue;
+            }
+            if (entry.getValue().yard.equals(worker.yard)) {
+                sameYard++;
+            } else if (job.samePlace()) {
+                throw new Violation("wrong_place", task + " starts apart from its job");
+            }
+        }
+        if (job.apart() && sameYard > (job.shards() + 1) / 2) {
+            throw new Violation("wrong_place", task + " makes " + sameYard + " in " + worker.yard);
+        }
+        on.put(task, worker);
+        Team team = settings.team(job.crew());
+        double cpus = 0;
+        for (TaskId running : on.keySet()) {
+            JobDescription other2 = submitted.get(running.uid());
+            cpus += other2.crew().equals(job.crew()) ? other2.vcpus() : 0;
+        }
+        if (cpus > team.cpusMax() + 1e-6) {
+            throw new Violation("quota", job.crew() + " uses " + cpus);
+        }
+        cancelCheck(task);
+    }
+
+    void ended(TaskId task, WorkerStandIn worker, boolean completed) {
+        on.remove(task, worker);
+        if (completed) {
+            done.add(task);
+        }
+    }
+
+    boolean isDone(TaskId task) {
+        return done.contains(task);
+    }
+
+    private void cancelCheck(TaskId task) {
+        Long told = toldCancelled.get(task.uid());
+        if (told != null && loop.now() - told > settings.workers().cancelMicros()) {
+            throw new Violation("ran_cancelled", task + " is on a machine too long after the cancellation");
+        }
+    }
+
+    /** What holds at all times. */
+    void check() {
+        if (!toldCancelled.isEmpty()) {
+            on.keySet().forEach(this::cancelCheck);
+        }
+    }
+
+    void submitting(JobDescription job) {
+        submitted.put(job.uid(), job);
+    }
+
+    void cancelling(String uid) {
+        askedToCancel.add(uid);
+    }
+
+    /** An answer to a request that was sent at the given time: it may be older than what was told after that. */
+    void answered(String request, String uid, long sent, int status, Map<String, Object> body) {
+        boolean known = submitted.containsKey(uid);
+        if (status == 200 && !known) {
+            throw new Violation("invented", uid);
+        }
+        if (accepted.getOrDefault(uid, Long.MAX_VALUE) < sent && (status == 404 || request.equals("submit") && (status == 400 || status == 422))) {
+            throw new Violation("forgotten", request + " " + uid + " " + status);
+        }
+        if (status != 200 && status != 201) {
+            return;
+        }
+        if (request.equals("submit")) {
+            accepted.putIfAbsent(uid, loop.now());
+        }
+        String said = (String) body.get("status");
+        String before = toldFinal.get(uid);
+        if (before != null && toldFinalAt.get(uid) < sent && !before.equals(said)) {
+            throw new Violation("went_back", uid + " was " + before + " and is " + said);
+        }
+        if (said.equals("done")) {
+            for (int i = 0; i < submitted.get(uid).shards(); i++) {
+                if (!done.contains(new TaskId(uid, i))) {
+                    throw new Violation("not_done", uid + "/" + i);
+                }
+            }
+            toldFinal.put(uid, said);
+            toldFinalAt.putIfAbsent(uid, loop.now());
+        } else if (said.equals("cancelled")) {
+            if (!askedToCancel.contains(uid)) {
+                throw new Violation("went_back", uid + " is called cancelled by itself");
+            }
+            toldFinal.put(uid, said);
+            toldFinalAt.putIfAbsent(uid, loop.now());
+            toldCancelled.putIfAbsent(uid, loop.now());
+        }
+    }
+
+    boolean isOver(String uid) {
+        return toldFinal.containsKey(uid);
+    }
+
+    Set<String> acceptedJobs() {
+        return accepted.keySet();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/woadloom/sim/WorkerStandIn.java
@@ -0,0 +1,285 @@
+package org.woadloom.sim;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.woadloom.wire.JobDescription;
+import org.woadloom.wire.TaskId;
+import org.woadloom.wire.WireException;
+
+/** A worker, written from the protocol: leases, tokens, reports and commands. */
+final class WorkerStandIn {
+    private static final long FETCH_MICROS = 800_000;
+
+    private static final class Task {
+        final TaskId id;
+        final long attempt;
+        String status = "fetching";
+        String cause;
+
+        Task(TaskId id, long attempt) {
+            this.id = id;
+            this.attempt = attempt;
+        }
+    }
+
+    final String host;
+    final String addr;
+    final String hosttype;
+    final String yard;
+    final boolean reclaimable;
+    private final World world;
+    private final double vcpus;
+    private final Map<TaskId, Task> tasks = new LinkedHashMap<>();
+    private long tenure = 1;
+    private long tick;
+    private long epoch;
+    private long leaseFrom;
+    private int node;
+    private long reportSent = -1;
+    private long reportId;
+    private boolean changed;
+    boolean dead;
+    long hungUntil;
+
+    WorkerStandIn(World world, String host, String hosttype, String yard, boolean reclaimable, double vcpus) {
+        this.world = world;
+        this.host = host;
+        this.addr = host + ":9000";
+        this.hosttype = hosttype;
+        this.yard = yard;
+        this.reclaimable = reclaimable;
+        this.vcpus = vcpus;
+        this.leaseFrom = world.loop.now();
+        this.node = world.random.nextInt(World.NODES);
+        beat();
+        watchLease();
+    }
+
+    /** The lease ends on time, also on a machine that hangs: it has no tasks any more when it goes on. */
+    private void watchLease() {
+        world.loop.at(leaseFrom + world.settings.workers().leaseMicros() + 1, () -> {
+            if (!dead) {
+                checkLease();
+                watchLease();
+            }
+        });
+    }
+
+    private void beat() {
+        long period = world.settings.workers().reportMicros();
+        world.loop.after(period / 4 + world.random.nextInt((int) (period / 8)), () -> {
+            if (dead) {
+                return;
+            }
+            if (!hung()) {
+                checkLease();
+                if (reportSent < 0 && (changed || world.loop.now() - lastReport >= period)) {
+                    report();
+                }
+            }
+            beat();
+        });
+    }
+
+    private long lastReport = Long.MIN_VALUE / 2;
+
+    boolean hung() {
+        return world.loop.now() < hungUntil;
+    }
+
+    private void checkLease() {
+        if (world.loop.now() - leaseFrom > world.settings.workers().leaseMicros()) {
+            for (Task task : tasks.values()) {
+                world.truth.ended(task.id, this, false);
+            }
+            tasks.clear();
+            tenure++;
+            leaseFrom = world.loop.now();
+            changed = true;
+        }
+    }
+
+    private Map<String, Object> body() {
+        Map<String, Object> map = new LinkedHashMap<>();
+        map.put("host", host);
+        map.put("addr", addr);
+        map.put("hosttype", hosttype);
+        map.put("yard", yard);
+        map.put("reclaimable", reclaimable);
+        map.put("tenure", tenure);
+        map.put("tick", ++tick);
+        map.put("epoch", epoch);
+        map.put("warningS", null);
+        List<Object> list = new ArrayList<>();
+        for (Task task : tasks.values()) {
+            Map<String, Object> item = new LinkedHashMap<>();
+            item.put("shard", task.id.toString());
+            item.put("try", task.attempt);
+            item.put("status", task.status);
+            if (task.cause != null) {
+                item.put("cause", task.cause);
+            }
+            list.add(item);
+        }
+        map.put("shards", list);
+        return map;
+    }
+
+    private void report() {
+        changed = false;
+        long sent = world.loop.now();
+        lastReport = sent;
+        reportSent = sent;
+        long id = ++reportId;
+        long ofTenure = tenure;
+        world.toNode(host, node, "POST", "/v1/report", body(), 4_000_000, (status, answer) -> {
+            if (dead || id != reportId || reportSent < 0) {
+                return;
+            }
+            reportSent = -1;
+            if (hung()) {
+                return;
+            }
+            if (status == 200) {
+                long token = (Long) answer.get("epoch");
+                checkLease();
+                if (token >= epoch && tenure == ofTenure) {
+                    changed |= token > epoch;
+                    epoch = token;
+                    leaseFrom = Math.max(leaseFrom, sent);
+                    execute((List<?>) answer.get("orders"));
+                }
+            } else if (status == 421 && answer.get("overseer") instanceof String leader
+                    && World.nodeIndex(leader) != node) {
+                node = World.nodeIndex(leader);
+                changed = true;
+            } else {
+                world.loop.after(1_000_000, () -> {
+                    node = (node + 1) % World.NODES;
+                    changed = true;
+                });
+            }
+        });
+    }
+
+    /** A direct command as it arrives, perhaps late. */
+    Object[] direct(Map<String, Object> body) {
+        checkLease();
+        long token = (Long) body.get("epoch");
+        if (token < epoch || (Long) body.get("tenure") != tenure) {
+            return new Object[] {409, body()};
+        }
+        epoch = token;
+        execute((List<?>) body.get("orders"));
+        return new Object[] {200, body()};
+    }
+
+    private void execute(List<?> orders) {
+        for (Object item : orders) {
+            Map<?, ?> order = (Map<?, ?>) item;
+            TaskId id;
+            try {
+                id = TaskId.parse((String) order.get("shard"));
+            } catch (WireException e) {
+                throw new IllegalStateException(e);
+            }
+            long attempt = (Long) order.get("try");
+            Task task = tasks.get(id);
+            switch ((String) order.get("verb")) {
+                case "launch" -> launch(id, attempt, task);
+                case "halt" -> {
+                    if (task != null && task.attempt == attempt && !task.status.equals("exited")) {
+                        exit(task, "halted");
+                    }
+                }
+                case "clear" -> {
+                    if (task != null && task.attempt == attempt && task.status.equals("exited")) {
+                        tasks.remove(id);
+                    }
+                }
+                default -> throw new IllegalStateException();
+            }
+            changed = true;
+        }
+    }
+
+    private void launch(TaskId id, long attempt, Task present) {
+        if (present != null && present.attempt == attempt) {
+            return;
+        }
+        JobDescription job = world.truth.submitted.get(id.uid());
+        Task task = new Task(id, attempt);
+        if (present != null && !present.status.equals("exited")) {
+            // The refused attempt can't be listed beside the other one in this stand-in; the leader must not get here.
+            throw new Violation("ran_twice", id + " is sent to " + host + " where another attempt is");
+        }
+        tasks.put(id, task);
+        double used = 0;
+        for (Task other : tasks.values()) {
+            used += other.status.equals("exited") || other == task ? 0
+                    : world.truth.submitted.get(other.id.uid()).vcpus();
+        }
+        if (used + job.vcpus() > vcpus + 1e-6) {
+            task.status = "exited";
+            task.cause = "no_room";
+            return;
+        }
+        world.loop.after(FETCH_MICROS, () -> run(task, job));
+    }
+
+    private void run(Task task, JobDescription job) {
+        if (dead || tasks.get(task.id) != task || !task.status.equals("fetching")) {
+            return;
+        }
+        if (hung()) {
+            world.loop.at(hungUntil, () -> run(task, job));
+            return;
+        }
+        checkLease();
+        if (tasks.get(task.id) != task) {
+            return;
+        }
+        if (world.truth.isDone(task.id)) {
+            exit(task, "done");
+            return;
+        }
+        world.truth.started(task.id, this);
+        task.status = "running";
+        changed = true;
+        if (!job.service()) {
+            world.loop.after((long) (job.runtimeS() * 1e6), () -> complete(task));
+        }
+    }
+
+    private void complete(Task task) {
+        if (dead || tasks.get(task.id) != task || !task.status.equals("running")) {
+            return;
+        }
+        if (hung()) {
+            world.loop.at(hungUntil, () -> complete(task));
+            return;
+        }
+        checkLease();
+        if (tasks.get(task.id) == task && task.status.equals("running")) {
+            exit(task, "done");
+        }
+    }
+
+    private void exit(Task task, String cause) {
+        task.status = "exited";
+        task.cause = cause;
+        changed = true;
+        world.truth.ended(task.id, this, cause.equals("done"));
+    }
+
+    /** The machine is gone, and everything on it. */
+    void die() {
+        dead = true;
+        for (Task task : tasks.values()) {
+            world.truth.ended(task.id, this, false);
+        }
+        tasks.clear();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/woadloom/sim/World.java
@@ -0,0 +1,451 @@
+package org.woadloom.sim;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.woadloom.net.HttpTransport;
+import org.woadloom.net.Loop;
+import org.woadloom.node.Node;
+import org.woadloom.peer.PeerCodec;
+import org.woadloom.peer.PeerFormatException;
+import org.woadloom.peer.PeerMessage;
+import org.woadloom.peer.PeerNet;
+import org.woadloom.settings.OperatorSettings;
+import org.woadloom.settings.Peer;
+import org.woadloom.settings.ServiceSettings;
+import org.woadloom.settings.Team;
+import org.woadloom.wire.Cbor;
+import org.woadloom.wire.JobDescription;
+import org.woadloom.wire.WireException;
+
+/** A whole deployment in virtual time: three nodes of the real program between stand-ins, on a network with faults. */
+final class World {
+    static final int NODES = 3;
+    private static final String[] YARDS = {"a", "b", "a"};
+
+    final SimLoop loop = new SimLoop();
+    final Random random;
+    final ServiceSettings settings;
+    final Truth truth;
+    private final StateStandIn state;
+    private final CloudStandIn cloud;
+    private final Member[] members = new Member[NODES];
+    private final long leaseForNodes;
+    /** How many of a thousand requests are held back, or lose their answer. */
+    int trouble = 4;
+    private int jobs;
+
+    /** One node and the life of its process. */
+    private final class Member {
+        final int index;
+        boolean alive;
+        int life;
+        Node node;
+        Peers peers;
+
+        Member(int index) {
+            this.index = index;
+        }
+
+        void start() {
+            int mine = ++life;
+            alive = true;
+            NodeLoop nodeLoop = new NodeLoop(this, mine);
+            peers = new Peers(this, mine);
+            node = new Node(nodeLoop, (address, method, path, body, timeout, callback) -> fromNode(this, mine, address,
+                    method, path, body, timeout, callback), peers, settingsOf(index, leaseForNodes),
+                    OperatorSettings.defaults(), new Random(random.nextLong()));
+            node.start();
+        }
+
+        void kill() {
+            alive = false;
+            life++;
+        }
+
+        boolean lives(int mine) {
+            return alive && life == mine;
+        }
+    }
+
+    private final class NodeLoop implements Loop {
+        private final Member member;
+        private final int mine;
+
+        NodeLoop(Member member, int mine) {
+            this.member = member;
+            this.mine = mine;
+        }
+
+        @Override
+        public long nowMicros() {
+            return loop.now();
+        }
+
+        @Override
+        public long wallMicros() {
+            return 1_700_000_000_000_000L + loop.now() + member.index * 50_000L;
+        }
+
+        @Override
+        public void execute(Runnable task) {
+            schedule(1, task);
+        }
+
+        @Override
+        public Timer schedule(long delayMicros, Runnable task) {
+            return loop.after(delayMicros, () -> {
+                if (member.lives(mine)) {
+                    task.run();
+                }
+            });
+        }
+    }
+
+    private final class Peers implements PeerNet {
+        private final Member member;
+        private final int mine;
+        private final PeerCodec codec = new PeerCodec();
+        private final boolean[] connected = new boolean[NODES];
+        private Listener listener;
+
+        Peers(Member member, int mine) {
+            this.member = member;
+            this.mine = mine;
+        }
+
+        @Override
+        public void start(Listener heard) {
+            listener = heard;
+            poll();
+        }
+
+        private void poll() {
+            if (!member.lives(mine)) {
+                return;
+            }
+            for (Member other : members) {
+                if (other == null || other == member) {
+                    continue;
+                }
+                if (other.alive && !connected[other.index]) {
+                    connected[other.index] = true;
+                    listener.connected(label(other.index));
+                } else if (!other.alive) {
+                    boolean was = connected[other.index];
+                    connected[other.index] = false;
+                    listener.lost(label(other.index), !was);
+                }
+            }
+            loop.after(150_000, this::poll);
+        }
+
+        @Override
+        public void send(String to, PeerMessage message) {
+            Member other = members[nodeIndex(to)];
+            if (!other.alive || !connected[other.index] || random.nextInt(1000) < trouble) {
+                return;
+            }
+            byte[] frame = codec.encode(message);
+            byte[] content = java.util.Arrays.copyOfRange(frame, 4, frame.length);
+            int life = other.life;
+            loop.after(delay(), () -> {
+                if (other.lives(life) && other.peers.listener != null) {
+                    try {
+                        other.peers.listener.received(label(member.index), codec.decode(content));
+                    } catch (PeerFormatException e) {
+                        throw new IllegalStateException(e);
+                    }
+                }
+            });
+        }
+    }
+
+    /**
+     * @param leaseForNodes the lease that the nodes are told of; less than the workers' real one breaks the service on
+     *     purpose
+     */
+    World(long seed, long leaseForNodes) {
+        random = new Random(seed);
+        this.leaseForNodes = leaseForNodes;
+        settings = settingsOf(0, 10_000_000);
+        truth = new Truth(loop, settings);
+        state = new StateStandIn(loop);
+        cloud = new CloudStandIn(this);
+        for (int i = 0; i < NODES; i++) {
+            members[i] = new Member(i);
+        }
+        for (Member member : members) {
+            loop.after(random.nextInt(500_000), member::start);
+        }
+    }
+
+    static String label(int index) {
+        return "node-" + index;
+    }
+
+    static int nodeIndex(String label) {
+        return Integer.parseInt(label.substring(5));
+    }
+
+    private static ServiceSettings settingsOf(int index, long lease) {
+        List<Peer> peers = new ArrayList<>();
+        for (int i = 0; i < NODES; i++) {
+            if (i != index) {
+                peers.add(new Peer(label(i), YARDS[i], "node-" + i + ":1"));
+            }
+        }
+        return new ServiceSettings(label(index), YARDS[index], "0:1", "0:2", peers, "cloud", "state", List.of("a", "b"),
+                List.of(new Team("red", 40, 60, 0, 0), new Team("blue", 24, 30, 0, 0)), List.of(),
+                new ServiceSettings.Workers(1_500_000, lease, 30_000_000),
+                new ServiceSettings.State(400, 200, 8192, 12), new ServiceSettings.Cloud(8, 3_000_000),
+                new ServiceSettings.Resources(1, 200, 1000));
+    }
+
+    private long delay() {
+        return 200 + random.nextInt(random.nextInt(20) == 0 ? 80_000 : 4_000);
+    }
+
+    private void fromNode(Member member, int mine, String address, String method, String path, byte[] body,
+            long timeout, HttpTransport.Callback callback) {
+        carry(timeout, (status, answer) -> {
+            if (member.lives(mine)) {
+                callback.answered(status, status > 0 ? Cbor.encode(answer) : new byte[0]);
+            }
+        }, respond -> {
+            Map<String, Object> map = decode(body);
+            if (address.equals("state")) {
+                state.handle(method, path, map, respond);
+            } else if (address.equals("cloud")) {
+                loop.after(150_000, () -> cloud.handle(method, path, map, respond));
+            } else {
+                toWorker(address, map, respond);
+            }
+        });
+    }
+
+    private void toWorker(String address, Map<String, Object> body, StateStandIn.Answer respond) {
+        for (WorkerStandIn worker : cloud.machines.values()) {
+            if (worker.addr.equals(address) && !worker.dead) {
+                if (worker.hung()) {
+                    // The command is executed when the machine goes on.
+                    loop.at(worker.hungUntil, () -> toWorker(address, body, respond));
+                    return;
+                }
+                Object[] answer = worker.direct(body);
+                @SuppressWarnings("unchecked")
+                Map<String, Object> report = (Map<String, Object>) answer[1];
+                respond.answer((Integer) answer[0], report);
+                return;
+            }
+        }
+    }
+
+    /** A worker's or a user's request to a node. */
+    void toNode(String from, int index, String method, String path, Map<String, Object> body, long timeout,
+            StateStandIn.Answer callback) {
+        Member member = members[index];
+        if (!member.alive) {
+            loop.after(1_000, () -> callback.answer(HttpTransport.NOT_SENT, Map.of()));
+            return;
+        }
+        int life = member.life;
+        byte[] bytes = body == null ? new byte[0] : Cbor.encode(body);
+        carry(timeout, callback, respond -> {
+            if (member.lives(life)) {
+                member.node.router().handle(method, path, bytes,
+                        response -> respond.answer(response.status(), decode(response.body())));
+            }
+        });
+    }
+
+    private interface Delivery {
+        void deliver(StateStandIn.Answer respond);
+    }
+
+    /** One request: delayed, sometimes held back for long, sometimes without its answer. */
+    private void carry(long timeout, StateStandIn.Answer callback, Delivery delivery) {
+        boolean[] answered = {false};
+        loop.after(timeout, () -> {
+            if (!answered[0]) {
+                answered[0] = true;
+                callback.answer(HttpTransport.NO_RESPONSE, Map.of());
+            }
+        });
+        int luck = random.nextInt(1000);
+        long there = luck < trouble ? 2_000_000 + random.nextInt(40_000_000) : delay();
+        boolean answerLost = luck >= trouble && luck < 2 * trouble;
+        loop.after(there, () -> delivery.deliver((status, body) -> loop.after(delay(), () -> {
+            if (!answered[0] && !answerLost) {
+                answered[0] = true;
+                callback.answer(status, body);
+            }
+        })));
+    }
+
+    private static Map<String, Object> decode(byte[] body) {
+        try {
+            return body == null || body.length == 0 ? Map.of() : Cbor.decodeMap(body);
+        } catch (WireException e) {
+            return Map.of();
+        }
+    }
+
+    // Users.
+
+    /** Keeps submitting until the given time. */
+    void users(long until) {
+        loop.after(300_000 + random.nextInt(2_500_000), () -> {
+            if (loop.now() < until) {
+                newJob();
+                users(until);
+            }
+        });
+    }
+
+    private void newJob() {
+        Map<String, Object> map = new LinkedHashMap<>();
+        String uid = String.format("j-%06d", jobs++);
+        int kind = random.nextInt(10);
+        boolean service = kind < 3;
+        boolean gang = kind == 3;
+        map.put("uid", uid);
+        map.put("jobclass", service ? "web" : "work");
+        map.put("crew", random.nextBoolean() ? "red" : "blue");
+        map.put("shape", service ? "service" : gang ? "group" : "batch");
+        map.put("rank", service ? "critical" : random.nextBoolean() ? "high" : "standard");
+        map.put("shards", (long) (service ? 1 + random.nextInt(3) : 1 + random.nextInt(gang ? 4 : 9)));
+        map.put("vcpus", service ? 1.0 : (double) (1 << random.nextInt(4)));
+        map.put("cards", 0.0);
+        map.put("ramGb", 2.0);
+        map.put("bundle", "img-" + random.nextInt(4));
+        map.put("pullGb", 1.0);
+        map.put("hosttypes", random.nextInt(5) == 0 ? List.of("large") : null);
+        map.put("yard", random.nextInt(8) == 0 ? "b" : null);
+        map.put("samePlace", random.nextInt(6) == 0);
+        map.put("apart", service && map.get("yard") == null && !(Boolean) map.get("samePlace"));
+        map.put("reclaimable", !service);
+        map.put("runtimeS", service ? 0.0 : 2.0 + random.nextInt(15));
+        try {
+            truth.submitting(JobDescription.parse(map));
+        } catch (WireException e) {
+            throw new IllegalStateException(e);
+        }
+        submit(uid, map, loop.now() + 60_000_000);
+        if (service || random.nextInt(12) == 0) {
+            loop.after(5_000_000 + random.nextInt(60_000_000), () -> cancel(uid));
+        }
+    }
+
+    private void submit(String uid, Map<String, Object> job, long until) {
+        long sent = loop.now();
+        toNode("users", random.nextInt(NODES), "POST", "/v1/jobs", job, 5_000_000, (status, body) -> {
+            truth.answered("submit", uid, sent, status, body);
+            if (status == 200 || status == 201) {
+                poll(uid);
+            } else if (loop.now() < until) {
+                loop.after(1_000_000, () -> submit(uid, job, until));
+            }
+        });
+    }
+
+    private void poll(String uid) {
+        long sent = loop.now();
+        toNode("users", random.nextInt(NODES), "GET", "/v1/jobs/" + uid, null, 2_000_000, (status, body) -> {
+            truth.answered("poll", uid, sent, status, body);
+            loop.after(truth.isOver(uid) ? 40_000_000 : 3_000_000, () -> poll(uid));
+        });
+    }
+
+    private void cancel(String uid) {
+        truth.cancelling(uid);
+        long sent = loop.now();
+        toNode("users", random.nextInt(NODES), "POST", "/v1/jobs/" + uid + "/cancel", Map.of(), 5_000_000,
+                (status, body) -> {
+                    truth.answered("cancel", uid, sent, status, body);
+                    if (status != 200 && status != 404) {
+                        loop.after(1_000_000, () -> cancel(uid));
+                    }
+                });
+    }
+
+    /** Asks about a job that nobody submitted. */
+    void askForUnknown() {
+        toNode("users", random.nextInt(NODES), "GET", "/v1/jobs/j-999999", null, 2_000_000,
+                (status, body) -> truth.answered("poll", "j-999999", 0, status, body));
+    }
+
+    // Faults.
+
+    /** Troubles at random until the given time. */
+    void faults(long until) {
+        loop.after(2_000_000 + random.nextInt(9_000_000), () -> {
+            if (loop.now() < until) {
+                fault();
+                faults(until);
+            }
+        });
+    }
+
+    private void fault() {
+        switch (random.nextInt(9)) {
+            case 0, 1 -> restart(members[random.nextInt(NODES)]);
+            case 2 -> {
+                for (Member member : members) {
+                    restart(member);
+                }
+            }
+            case 3 -> {
+                if (!state.down) {
+                    state.outage(true);
+                    loop.after(2_000_000 + random.nextInt(18_000_000), () -> state.outage(false));
+                }
+            }
+            case 4 -> {
+                cloud.down = true;
+                loop.after(random.nextInt(20_000_000), () -> cloud.down = false);
+            }
+            case 5, 6 -> anyWorker(worker -> worker.hungUntil = loop.now() + random.nextInt(25_000_000));
+            case 7 -> anyWorker(WorkerStandIn::die);
+            default -> {
+                trouble = 60;
+                loop.after(random.nextInt(15_000_000), () -> trouble = 4);
+            }
+        }
+        askForUnknown();
+    }
+
+    private void restart(Member member) {
+        if (member.alive) {
+            member.kill();
+            loop.after(500_000 + random.nextInt(5_000_000), member::start);
+        }
+    }
+
+    private void anyWorker(java.util.function.Consumer<WorkerStandIn> what) {
+        List<WorkerStandIn> workers = new ArrayList<>(cloud.machines.values());
+        if (!workers.isEmpty()) {
+            what.accept(workers.get(random.nextInt(workers.size())));
+        }
+    }
+
+    /** Runs to the given time, checking the rules after every step. */
+    void run(long until) {
+        while (loop.step(until)) {
+            truth.check();
+        }
+    }
+
+    /** Accepted jobs that are neither done nor cancelled and should be by now. */
+    List<String> unfinished() {
+        List<String> result = new ArrayList<>();
+        for (String uid : truth.acceptedJobs()) {
+            if (!truth.isOver(uid) && !truth.submitted.get(uid).service()) {
+                result.add(uid);
+            }
+        }
+        return result;
+    }
+}
