Gathering jobs preempt only where they hold room; metrics through Micrometer

Now a job that gathers has room made on the machines it holds, and only available room keeps it from renting.

--- a/src/main/java/org/woadloom/core/Core.java
+++ b/src/main/java/org/woadloom/core/Core.java
@@ -56,7 +56,7 @@
             reservations = new Reservations(world);
             gathering = new Gathering(world, eligibility, reservations);
             placer = new Placer(world, eligibility, reservations);
-            preemption = new Preemption(world, eligibility, placer, reservations);
+            preemption = new Preemption(world, eligibility, placer, reservations, gathering);
             capacity = new Capacity(world, eligibility, placer, machines, reservations);
         }
     }
@@ -65,8 +65,16 @@
         this.settings = settings;
     }
 
-    public boolean leads() {
-        return leadership != null;
+    public int jobs() {
+        return leadership == null ? 0 : leadership.world.jobs.size();
+    }
+
+    public int machines() {
+        return leadership == null ? 0 : leadership.world.machines.size();
+    }
+
+    public int reservations() {
+        return leadership == null ? 0 : leadership.reservations.size();
     }
 
     /** Applies the commands in order, then does what has become possible or due. */
@@ -152,6 +160,7 @@
         l.machines.emitWrites();
         l.directs.emitSends();
         l.machines.forget();
+        l.reports.forget();
     }
 
     /** A worker that we alone answer, and have not answered for longer than its lease, has killed its tasks. */
--- a/src/main/java/org/woadloom/core/capacity/Capacity.java
+++ b/src/main/java/org/woadloom/core/capacity/Capacity.java
@@ -107,7 +107,7 @@
         }
         Map<Kind, Integer> wanted = new LinkedHashMap<>();
         for (Job job : placer.queue()) {
-            int tasks = Math.min(job.pending() - reservations.of(job).size(), job.team.allowed(job.room));
+            int tasks = Math.min(job.pending() - reservations.coming(job), job.team.allowed(job.room));
             for (Supply s : supply) {
                 while (tasks > 0 && s.free.holds(job.room) && usable(job, s.kind)) {
                     s.free = s.free.minus(job.room);
--- a/src/main/java/org/woadloom/core/jobs/JobTable.java
+++ b/src/main/java/org/woadloom/core/jobs/JobTable.java
@@ -48,7 +48,10 @@
         Job job = world.jobs.get(record.description().uid());
         if (job == null) {
             if (record.term() < world.term && record.placed().isEmpty()) {
-                create(record, stamp);
+                if (create(record, stamp) != null) {
+                    world.note("job " + record.description().uid() + " of " + record.description().crew()
+                            + " is accepted: " + record.description().shards() + " tasks");
+                }
                 world.placementWorthTrying = true;
             }
             return;
--- a/src/main/java/org/woadloom/core/machines/Reports.java
+++ b/src/main/java/org/woadloom/core/machines/Reports.java
@@ -295,7 +295,8 @@
         return orders;
     }
 
-    public void forget(String host) {
-        clearAfter.remove(host);
+    /** Drops what is kept for machines that are no longer known. */
+    public void forget() {
+        clearAfter.keySet().retainAll(world.machines.keySet());
     }
 }
--- a/src/main/java/org/woadloom/core/reservation/Reservations.java
+++ b/src/main/java/org/woadloom/core/reservation/Reservations.java
@@ -120,13 +120,18 @@
 
     /** The machine's free room without what is reserved for others than this job. */
     public Room unreserved(Machine machine, Job job) {
-        Room free = machine.free();
+        return balance(machine, job).floor();
+    }
+
+    /** The same, negative where reservations wait for room that is still in use. */
+    public Room balance(Machine machine, Job job) {
+        Room free = machine.size.minus(machine.used());
         for (Reservation reservation : live.values()) {
             if (reservation.machine == machine && reservation.owner != job) {
                 free = free.minus(reservation.remaining());
             }
         }
-        return free.floor();
+        return free;
     }
 
     /**
@@ -191,8 +196,19 @@
         return result;
     }
 
-    public boolean isLive(Reservation reservation) {
-        return live.containsKey(reservation.id);
+    /**
+     * For how many tasks of the job no machine need be rented. A gang's waiting reservations do not count: what they
+     * wait for may run long.
+     */
+    public int coming(Job job) {
+        int count = 0;
+        for (Reservation reservation : live.values()) {
+            if (reservation.owner == job
+                    && (reservation.phase() == Phase.AVAILABLE || !job.description.gang())) {
+                count++;
+            }
+        }
+        return count;
     }
 
     public int size() {
--- a/src/main/java/org/woadloom/http/Response.java
+++ b/src/main/java/org/woadloom/http/Response.java
@@ -22,6 +22,10 @@
         return of(status, ImmutableMap.of("error", text));
     }
 
+    public static Response json(Map<String, Object> body) {
+        return new Response(200, Cbor.toJson(body).getBytes(StandardCharsets.UTF_8), "application/json", 0);
+    }
+
     public static Response text(String text) {
         return new Response(200, text.getBytes(StandardCharsets.UTF_8), "text/plain", 0);
     }
--- a/src/main/java/org/woadloom/http/Router.java
+++ b/src/main/java/org/woadloom/http/Router.java
@@ -1,6 +1,7 @@
 package org.woadloom.http;
 
 import java.util.function.Consumer;
+import org.woadloom.metrics.NodeMetrics;
 
 /** Finds what answers a request, whatever carries it. */
 public final class Router {
@@ -14,9 +15,9 @@
 
     private final JobApi jobs;
     private final ReportApi reports;
-    private final java.util.function.Supplier<String> metrics;
+    private final NodeMetrics metrics;
 
-    public Router(JobApi jobs, ReportApi reports, java.util.function.Supplier<String> metrics) {
+    public Router(JobApi jobs, ReportApi reports, NodeMetrics metrics) {
         this.jobs = jobs;
         this.reports = reports;
         this.metrics = metrics;
@@ -26,19 +27,27 @@
         boolean post = method.equals("POST");
         boolean get = method.equals("GET");
         if (post && path.equals("/v1/report")) {
-            reports.report(body, answer);
+            reports.report(body, counted("report", answer));
         } else if (get && path.equals("/healthz")) {
             answer.accept(Response.text("ok\n"));
         } else if (post && path.equals(JOBS)) {
-            jobs.submit(body, answer);
+            jobs.submit(body, counted("submit", answer));
         } else if (get && path.startsWith(JOBS + "/")) {
-            jobs.show(path.substring(JOBS.length() + 1), answer);
+            jobs.show(path.substring(JOBS.length() + 1), counted("show", answer));
         } else if (post && path.startsWith(JOBS + "/") && path.endsWith(CANCEL)) {
-            jobs.cancel(path.substring(JOBS.length() + 1, path.length() - CANCEL.length()), answer);
+            jobs.cancel(path.substring(JOBS.length() + 1, path.length() - CANCEL.length()),
+                    counted("cancel", answer));
         } else if (get && path.equals("/metrics")) {
-            answer.accept(Response.text(metrics.get()));
+            answer.accept(Response.json(metrics.toMap()));
         } else {
             answer.accept(Response.error(404, "no such path"));
         }
     }
+
+    private Consumer<Response> counted(String what, Consumer<Response> answer) {
+        return response -> {
+            metrics.answered(what, response.status());
+            answer.accept(response);
+        };
+    }
 }
--- /dev/null
+++ b/src/main/java/org/woadloom/metrics/NodeMetrics.java
@@ -0,0 +1,68 @@
+package org.woadloom.metrics;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Measurement;
+import io.micrometer.core.instrument.Meter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Tag;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.ToDoubleFunction;
+import org.woadloom.core.Effect;
+
+/** What a node counts of itself. */
+public final class NodeMetrics {
+    private final MeterRegistry registry = new SimpleMeterRegistry();
+    private final Timer steps = registry.timer("woadloom.core.step");
+    private final Counter answers = registry.counter("woadloom.reports.answered");
+    private final Counter launches = registry.counter("woadloom.direct.sent");
+    private final Counter writes = registry.counter("woadloom.records.written");
+    private final Counter rentals = registry.counter("woadloom.cloud.rentals");
+    private final Counter deletions = registry.counter("woadloom.cloud.deletions");
+
+    /** Notes the answer to a request of users or workers. */
+    public void answered(String what, int status) {
+        registry.counter("woadloom.http.answers", "what", what, "status", Integer.toString(status)).increment();
+    }
+
+    public void stepped(long micros) {
+        steps.record(micros, TimeUnit.MICROSECONDS);
+    }
+
+    public void done(Effect effect) {
+        if (effect instanceof Effect.Answer) {
+            answers.increment();
+        } else if (effect instanceof Effect.SendDirect) {
+            launches.increment();
+        } else if (effect instanceof Effect.PutJob || effect instanceof Effect.FinishJob) {
+            writes.increment();
+        } else if (effect instanceof Effect.Rent) {
+            rentals.increment();
+        } else if (effect instanceof Effect.Delete) {
+            deletions.increment();
+        }
+    }
+
+    /** A value that is read whenever the metrics are. */
+    public <T> void gauge(String name, T of, ToDoubleFunction<T> value) {
+        registry.gauge(name, of, value);
+    }
+
+    /** All meters, by name and tags. */
+    public Map<String, Object> toMap() {
+        Map<String, Object> map = new LinkedHashMap<>();
+        for (Meter meter : registry.getMeters()) {
+            StringBuilder name = new StringBuilder(meter.getId().getName());
+            for (Tag tag : meter.getId().getTags()) {
+                name.append(' ').append(tag.getKey()).append('=').append(tag.getValue());
+            }
+            for (Measurement measurement : meter.measure()) {
+                map.put(name + " " + measurement.getStatistic().getTagValueRepresentation(), measurement.getValue());
+            }
+        }
+        return map;
+    }
+}
--- a/src/main/java/org/woadloom/node/CommandQueue.java
+++ b/src/main/java/org/woadloom/node/CommandQueue.java
@@ -7,6 +7,7 @@
 import org.woadloom.core.Command;
 import org.woadloom.core.Core;
 import org.woadloom.core.Effect;
+import org.woadloom.metrics.NodeMetrics;
 import org.woadloom.net.Loop;
 
 /** The queue in front of the core: whatever has gathered by the time the core gets its turn is one batch. */
@@ -16,6 +17,7 @@
     private final Loop loop;
     private final Core core;
     private final Executor executor;
+    private final NodeMetrics metrics;
     private final ManyToOneConcurrentArrayQueue<Command> queue = new ManyToOneConcurrentArrayQueue<>(CAPACITY);
     private final AtomicBoolean scheduled = new AtomicBoolean();
 
@@ -24,10 +26,11 @@
         void execute(List<Effect> effects);
     }
 
-    public CommandQueue(Loop loop, Core core, Executor executor) {
+    public CommandQueue(Loop loop, Core core, NodeMetrics metrics, Executor executor) {
         this.loop = loop;
         this.core = core;
         this.executor = executor;
+        this.metrics = metrics;
     }
 
     /** Returns false if the queue is full; the command is dropped then. */
@@ -43,6 +46,10 @@
         scheduled.set(false);
         List<Command> batch = new ArrayList<>();
         queue.drainTo(batch, CAPACITY);
-        executor.execute(core.step(loop.nowMicros(), loop.wallMicros(), batch));
+        long begin = loop.nowMicros();
+        List<Effect> effects = core.step(begin, loop.wallMicros(), batch);
+        metrics.stepped(loop.nowMicros() - begin);
+        effects.forEach(metrics::done);
+        executor.execute(effects);
     }
 }
--- a/src/main/java/org/woadloom/node/Node.java
+++ b/src/main/java/org/woadloom/node/Node.java
@@ -20,6 +20,7 @@
 import org.woadloom.http.Response;
 import org.woadloom.http.Router;
 import org.woadloom.leader.Election;
+import org.woadloom.metrics.NodeMetrics;
 import org.woadloom.net.HttpTransport;
 import org.woadloom.net.Loop;
 import org.woadloom.peer.PeerNet;
@@ -58,6 +59,7 @@
     /** When each worker was last sent to the leader; one that comes back can't reach it. */
     private final Cache<String, Long> redirected = Caffeine.newBuilder().maximumSize(10_000)
             .executor(Runnable::run).build();
+    private final NodeMetrics metrics = new NodeMetrics();
     private List<MachineType> types = List.of();
 
     public Node(Loop loop, HttpTransport transport, PeerNet net, ServiceSettings settings,
@@ -67,7 +69,8 @@
         state = new StateClient(loop, transport, settings, random);
         cloud = new CloudClient(loop, transport, settings);
         duties = new LeaderDuties(loop, state, cloud, new WorkerClient(transport), settings, this::abdicate);
-        queue = new CommandQueue(loop, new Core(CoreSettings.of(settings, operator)), duties::execute);
+        Core core = new Core(CoreSettings.of(settings, operator));
+        queue = new CommandQueue(loop, core, metrics, duties::execute);
         duties.attach(queue);
         election = new Election(loop, state, settings.label(), random, new Election.Listener() {
             @Override
@@ -92,7 +95,13 @@
             }
         });
         router = new Router(new JobApi(loop, state, settings, () -> types, this::changed), this::report,
-                () -> "");
+                metrics);
+        metrics.gauge("woadloom.leader", election, e -> e.leads() ? 1 : 0);
+        metrics.gauge("woadloom.term", election, Election::knownTerm);
+        metrics.gauge("woadloom.state.troubles", state, StateClient::troubles);
+        metrics.gauge("woadloom.jobs", core, Core::jobs);
+        metrics.gauge("woadloom.machines", core, Core::machines);
+        metrics.gauge("woadloom.reservations", core, Core::reservations);
     }
 
     public Router router() {
--- a/src/main/java/org/woadloom/state/StateClient.java
+++ b/src/main/java/org/woadloom/state/StateClient.java
@@ -98,7 +98,6 @@
     private int inFlight;
     private long heldUntilMicros;
     private boolean wakeScheduled;
-    private long lastAnswerMicros;
     private long troubles;
 
     private record Pending(String method, String path, byte[] body, int writeCount, long timeoutMicros,
@@ -117,11 +116,6 @@
         }
     }
 
-    /** When the state service last answered with anything but 503, on the steady clock; 0 for never. */
-    public long lastAnswerMicros() {
-        return lastAnswerMicros;
-    }
-
     /** Answers of the kind 429 or 503, or none at all, counted for the metrics. */
     public long troubles() {
         return troubles;
@@ -319,9 +313,6 @@
             troubles++;
             heldUntilMicros = loop.nowMicros() + 50_000 + random.nextInt(150_000);
         }
-        if (status > 0 && status != 503) {
-            lastAnswerMicros = loop.nowMicros();
-        }
     }
 
     private interface Reader {
