--- /dev/null
+++ b/src/test/java/org/woadloom/core/CoreFixture.java
@@ -0,0 +1,70 @@
+package org.woadloom.core;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.woadloom.core.jobs.Job;
+import org.woadloom.core.jobs.Placement;
+import org.woadloom.core.machines.Machine;
+import org.woadloom.core.placement.Room;
+import org.woadloom.core.reservation.Reservations;
+import org.woadloom.settings.OperatorSettings;
+import org.woadloom.settings.Team;
+import org.woadloom.state.JobRecord;
+import org.woadloom.state.MachineRecord;
+import org.woadloom.wire.JobDescription;
+import org.woadloom.wire.MachineType;
+import org.woadloom.wire.WireException;
+
+/** A small world for tests of the core's parts: machines of 16 CPUs and 32 GB, one team limited to 24 CPUs. */
+public final class CoreFixture {
+    private static final MachineType TYPE = new MachineType("m16", 16, 0, 32, 50, 1, 1, 0.3, 30_000_000,
+            List.of("a", "b"));
+
+    public final World world = new World(new CoreSettings(List.of(new Team("team", 16, 24, 0, 0)), 1_500_000,
+            10_000_000, 30_000_000, 8192, 3_000_000, OperatorSettings.defaults()), 1, 1_000_000, 0);
+
+    public CoreFixture() {
+        world.types.put(TYPE.name(), TYPE);
+    }
+
+    public Machine machine(String host, String yard) {
+        Machine machine = new Machine(new MachineRecord(host, "m16", yard, false, false), 1, world.nowMicros);
+        machine.type = TYPE;
+        machine.size = Room.of(TYPE);
+        machine.recorded = true;
+        machine.epochSeen = machine.token();
+        machine.tenure = 1;
+        machine.lastHeardMicros = world.nowMicros;
+        world.machines.put(host, machine);
+        return machine;
+    }
+
+    public Job job(String uid, double vcpus, double ramGb, int shards) {
+        Map<String, Object> map = new LinkedHashMap<>();
+        map.put("uid", uid);
+        map.put("jobclass", "work");
+        map.put("crew", "team");
+        map.put("shape", "batch");
+        map.put("rank", "high");
+        map.put("shards", (long) shards);
+        map.put("vcpus", vcpus);
+        map.put("ramGb", ramGb);
+        map.put("bundle", "img");
+        try {
+            JobRecord record = JobRecord.accepted(JobDescription.parse(map), 0);
+            Job job = new Job(record, 1, world.teams.get("team"), world.nowMicros);
+            world.jobs.put(uid, job);
+            return job;
+        } catch (WireException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    public Placement place(Reservations reservations, Job job, int index, Machine machine) {
+        Placement placement = new Placement(job, index, machine, world.newAttempt(), 1, world.nowMicros);
+        reservations.draw(placement);
+        job.add(placement);
+        return placement;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/woadloom/core/reservation/ReservationsTest.java
@@ -0,0 +1,134 @@
+package org.woadloom.core.reservation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import org.junit.jupiter.api.Test;
+import org.woadloom.core.CoreFixture;
+import org.woadloom.core.jobs.Job;
+import org.woadloom.core.machines.Machine;
+import org.woadloom.core.placement.Room;
+import org.woadloom.core.reservation.Reservation.Phase;
+
+/** The proposal's cases, on machines of 16 CPUs and 32 GB. */
+class ReservationsTest {
+    private final CoreFixture fixture = new CoreFixture();
+    private final Reservations reservations = new Reservations(fixture.world);
+    private final Machine machine = fixture.machine("host-1", "a");
+
+    private static Room room(double cpus, double gb) {
+        return new Room((long) (cpus * 1000), 0, (long) (gb * 1000));
+    }
+
+    @Test
+    void reservedRoomIsItsOwnersAlone() {
+        Job owner = fixture.job("j-1", 4, 4, 1);
+        Job other = fixture.job("j-2", 4, 4, 1);
+        assertEquals(Phase.AVAILABLE, reservations.reserve(owner, machine, room(4, 4), true, false).phase());
+        assertEquals(room(12, 28), reservations.unreserved(machine, other));
+        assertEquals(room(16, 32), reservations.unreserved(machine, owner));
+        assertNull(reservations.match(other, machine));
+    }
+
+    @Test
+    void allocateOnceEndsWithItsFirstOwnerWhateverIsLeft() {
+        Job owner = fixture.job("j-1", 2, 2, 2);
+        Reservation reservation = reservations.reserve(owner, machine, room(4, 4), true, false);
+        fixture.place(reservations, owner, 0, machine);
+        assertEquals(Phase.SUCCEEDED, reservation.phase());
+        assertEquals(room(14, 30), reservations.unreserved(machine, fixture.job("j-2", 2, 2, 1)));
+        assertEquals(room(2, 2), owner.team.used());
+    }
+
+    @Test
+    void anOwnerThatNeedsMoreTakesTheRestFromTheMachine() {
+        Job owner = fixture.job("j-1", 6, 1, 1);
+        Reservation reservation = reservations.reserve(owner, machine, room(4, 0), true, false);
+        fixture.place(reservations, owner, 0, machine);
+        assertEquals(room(4, 0), reservation.allocated());
+        assertEquals(room(10, 31), machine.free());
+    }
+
+    @Test
+    void reusableRoomIsDrawnByOneOwnerAfterAnother() {
+        Job owner = fixture.job("j-1", 4, 0, 2);
+        Reservation reservation = reservations.reserve(owner, machine, room(8, 0), false, false);
+        fixture.place(reservations, owner, 0, machine);
+        assertEquals(Phase.AVAILABLE, reservation.phase());
+        assertEquals(room(4, 0), reservation.remaining());
+        fixture.place(reservations, owner, 1, machine);
+        assertEquals(Phase.SUCCEEDED, reservation.phase());
+        assertEquals(room(8, 0), owner.team.used());
+    }
+
+    @Test
+    void aSecondOwnerDrawsWhatIsLeftAndThenTheMachine() {
+        Job owner = fixture.job("j-1", 4, 0, 2);
+        Reservation reservation = reservations.reserve(owner, machine, room(6, 0), false, false);
+        fixture.place(reservations, owner, 0, machine);
+        fixture.place(reservations, owner, 1, machine);
+        assertEquals(room(6, 0), reservation.allocated());
+        assertEquals(room(8, 32), machine.free());
+    }
+
+    @Test
+    void oneReusableReservationAnOwnerAndMachine() {
+        Job owner = fixture.job("j-1", 2, 0, 4);
+        assertNotNull(reservations.reserve(owner, machine, room(4, 0), false, false));
+        assertNull(reservations.reserve(owner, machine, room(4, 0), false, false));
+    }
+
+    @Test
+    void theReservationFromWhichMostIsDrawnIsChosen() {
+        Job owner = fixture.job("j-1", 4, 0, 2);
+        reservations.reserve(owner, machine, room(1, 0), true, false);
+        Reservation larger = reservations.reserve(owner, machine, room(3, 0), true, false);
+        assertEquals(larger, reservations.match(owner, machine));
+    }
+
+    @Test
+    void preAllocationWaitsForRoomAndIsThenAvailable() {
+        Job running = fixture.job("j-1", 16, 0, 1);
+        var placement = fixture.place(reservations, running, 0, machine);
+        Job owner = fixture.job("j-2", 8, 0, 1);
+        assertNull(reservations.reserve(owner, machine, room(8, 0), true, false));
+        Reservation waiting = reservations.reserve(owner, machine, room(8, 0), true, true);
+        assertEquals(Phase.WAITING, waiting.phase());
+        assertNull(reservations.match(owner, machine));
+        running.remove(placement);
+        reservations.sync();
+        assertEquals(Phase.AVAILABLE, waiting.phase());
+    }
+
+    @Test
+    void timeToLiveEndsAReservationUnlessItIsRenewed() {
+        Job owner = fixture.job("j-1", 4, 0, 2);
+        Reservation kept = reservations.reserve(owner, machine, room(4, 0), true, false);
+        Reservation lost = reservations.reserve(owner, machine, room(4, 0), true, false);
+        fixture.world.nowMicros += 40_000_000;
+        reservations.renew(kept);
+        fixture.world.nowMicros += 30_000_000;
+        assertEquals(java.util.List.of(lost), reservations.sync());
+        assertEquals(Phase.FAILED, lost.phase());
+        assertEquals(Phase.AVAILABLE, kept.phase());
+        assertEquals(room(4, 0), owner.team.used());
+    }
+
+    @Test
+    void aMachineThatGoesFailsItsReservations() {
+        Job owner = fixture.job("j-1", 4, 0, 1);
+        Reservation reservation = reservations.reserve(owner, machine, room(4, 0), true, false);
+        machine.leaving = true;
+        assertEquals(java.util.List.of(reservation), reservations.sync());
+        assertEquals(Room.NONE, owner.team.used());
+    }
+
+    @Test
+    void reservedRoomCountsToTheTeamsLimit() {
+        Job owner = fixture.job("j-1", 16, 0, 2);
+        assertNotNull(reservations.reserve(owner, machine, room(16, 0), true, true));
+        Machine second = fixture.machine("host-2", "a");
+        assertNull(reservations.reserve(owner, second, room(16, 0), true, true));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/woadloom/settings/SettingsTest.java
@@ -0,0 +1,54 @@
+package org.woadloom.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class SettingsTest {
+    private static String good() throws Exception {
+        return Files.readString(Path.of("src/build/rehearsal.toml"));
+    }
+
+    @Test
+    void platformSettingsAreReadAndUnknownFieldsIgnored() throws Exception {
+        ServiceSettings settings = ServiceSettingsFile.parse("f.toml", "novel = 1\n" + good());
+        assertEquals("rehearsal", settings.label());
+        assertEquals(1_000_000, settings.workers().reportMicros());
+        assertEquals(8192, settings.state().valueBytes());
+        assertEquals("127.0.0.1:18933", settings.peer("other").address());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"label = \"rehearsal\",label = 3,label: expected text",
+        "bind = \"127.0.0.1:18931\",bind = \"nowhere\",bind: expected an address",
+        "report_s = 1.0,report_s = \"soon\",deployment.workers.report_s: expected a number",
+        "lease_s = 10.0,lease_s = -1.0,deployment.workers.lease_s: expected a number",
+        "area = \"b\",area = true,peers[0].area: expected text"})
+    void errorsNameFileKeyAndExpectation(String was, String is, String expected) throws Exception {
+        String text = good().replace(was, is);
+        SettingsException e = assertThrows(SettingsException.class, () -> ServiceSettingsFile.parse("f.toml", text));
+        assertTrue(e.getMessage().startsWith("f.toml: " + expected), e.getMessage());
+    }
+
+    @Test
+    void operatorSettingsHaveDefaultsAndRefuseUnknownKeys() throws Exception {
+        assertEquals(OperatorSettings.defaults(), OperatorSettingsFile.parse("o.hcl", ""));
+        OperatorSettings set = OperatorSettingsFile.parse("o.hcl",
+                "reservation {\n ttl_s = 30\n renew_s = 7.5\n}\ncapacity {\n headroom = 1\n}\n");
+        assertEquals(30_000_000, set.reservationTtlMicros());
+        assertEquals(7_500_000, set.reservationRenewMicros());
+        assertEquals(1.0, set.headroom());
+        SettingsException unknown = assertThrows(SettingsException.class,
+                () -> OperatorSettingsFile.parse("o.hcl", "capacity {\n haedroom = 1\n}\n"));
+        assertEquals("o.hcl: capacity.haedroom: no such setting", unknown.getMessage());
+        SettingsException range = assertThrows(SettingsException.class,
+                () -> OperatorSettingsFile.parse("o.hcl", "reservation {\n ttl_s = 5\n}\n"));
+        assertEquals("o.hcl: reservation.renew_s: expected less than reservation.ttl_s", range.getMessage());
+    }
+}
