--- a/src/main/java/org/woadloom/node/Node.java
+++ b/src/main/java/org/woadloom/node/Node.java
@@ -56,6 +56,7 @@
     private final CommandQueue queue;
     private final Router router;
     private final PeerLinks peers;
+    private final Mailbox mailbox;
     /** When each worker was last sent to the leader; one that comes back can't reach it. */
     private final Cache<String, Long> redirected = Caffeine.newBuilder().maximumSize(10_000)
             .executor(Runnable::run).build();
@@ -72,14 +73,17 @@
         Core core = new Core(CoreSettings.of(settings, operator));
         queue = new CommandQueue(loop, core, metrics, duties::execute);
         duties.attach(queue);
+        mailbox = new Mailbox(loop, state, settings);
         election = new Election(loop, state, settings.label(), random, new Election.Listener() {
             @Override
             public void elected(long term, long leaderStamp) {
                 duties.begin(term, leaderStamp);
+                mailbox.lead(term, Node.this::decide);
             }
 
             @Override
             public void deposed(String reason) {
+                mailbox.end();
                 duties.end();
             }
         });
@@ -191,7 +195,11 @@
         }
         long now = loop.nowMicros();
         Long before = redirected.getIfPresent(host);
-        if (before != null && now - before < RETURN_MICROS && peers.reaches(leader)) {
+        if (!peers.reaches(leader)) {
+            mailbox.carry(host, body, answer);
+            return;
+        }
+        if (before != null && now - before < RETURN_MICROS) {
             peers.carry(leader, body, answer);
             return;
         }
--- a/src/main/java/org/woadloom/state/Keys.java
+++ b/src/main/java/org/woadloom/state/Keys.java
@@ -12,6 +12,9 @@
     public static final String FINALS = "final/";
     public static final String MACHINES = "machine/";
 
+    /** Reports on their way to a leader that their node can't reach. */
+    public static final String MAIL = "mail/";
+
     private Keys() {
     }
 
@@ -23,6 +26,15 @@
         return FINALS + uid;
     }
 
+    public static String mail(String host) {
+        return MAIL + host;
+    }
+
+    /** The prefix of the answers to what a node sent by mail. */
+    public static String answers(String label) {
+        return "answer/" + label + "/";
+    }
+
     public static String machine(String host) {
         return MACHINES + host;
     }
--- a/src/test/java/org/woadloom/sim/World.java
+++ b/src/test/java/org/woadloom/sim/World.java
@@ -33,6 +33,8 @@
     private final CloudStandIn cloud;
     private final Member[] members = new Member[NODES];
     private final long leaseForNodes;
+    /** While set, the two zones can't reach each other; the state service and the cloud belong to neither. */
+    private boolean cut;
     /** How many of a thousand requests are held back, or lose their answer. */
     int trouble = 4;
     private int jobs;
@@ -130,6 +132,13 @@
                 if (other == null || other == member) {
                     continue;
                 }
+                if (cut && !YARDS[other.index].equals(YARDS[member.index])) {
+                    if (connected[other.index]) {
+                        connected[other.index] = false;
+                        listener.lost(label(other.index), false);
+                    }
+                    continue;
+                }
                 if (other.alive && !connected[other.index]) {
                     connected[other.index] = true;
                     listener.connected(label(other.index));
@@ -221,17 +230,22 @@
             } else if (address.equals("cloud")) {
                 loop.after(150_000, () -> cloud.handle(method, path, map, respond));
             } else {
-                toWorker(address, map, respond);
+                toWorker(member, address, map, respond);
             }
         });
     }
 
-    private void toWorker(String address, Map<String, Object> body, StateStandIn.Answer respond) {
+    private void toWorker(Member member, String address, Map<String, Object> body, StateStandIn.Answer respond) {
         for (WorkerStandIn worker : cloud.machines.values()) {
             if (worker.addr.equals(address) && !worker.dead) {
+                if (cut && !worker.yard.equals(YARDS[member.index])) {
+                    // Held back, and executed when the zones can reach each other again.
+                    loop.after(1_000_000, () -> toWorker(member, address, body, respond));
+                    return;
+                }
                 if (worker.hung()) {
                     // The command is executed when the machine goes on.
-                    loop.at(worker.hungUntil, () -> toWorker(address, body, respond));
+                    loop.at(worker.hungUntil, () -> toWorker(member, address, body, respond));
                     return;
                 }
                 Object[] answer = worker.direct(body);
@@ -251,6 +265,11 @@
             loop.after(1_000, () -> callback.answer(HttpTransport.NOT_SENT, Map.of()));
             return;
         }
+        WorkerStandIn worker = cloud.machines.get(from);
+        if (cut && worker != null && !worker.yard.equals(YARDS[index])) {
+            loop.after(timeout, () -> callback.answer(HttpTransport.NO_RESPONSE, Map.of()));
+            return;
+        }
         int life = member.life;
         byte[] bytes = body == null ? new byte[0] : Cbor.encode(body);
         carry(timeout, callback, respond -> {
@@ -390,7 +409,7 @@
     }
 
     private void fault() {
-        switch (random.nextInt(9)) {
+        switch (random.nextInt(10)) {
             case 0, 1 -> restart(members[random.nextInt(NODES)]);
             case 2 -> {
                 for (Member member : members) {
@@ -409,6 +428,10 @@
             }
             case 5, 6 -> anyWorker(worker -> worker.hungUntil = loop.now() + random.nextInt(25_000_000));
             case 7 -> anyWorker(WorkerStandIn::die);
+            case 8 -> {
+                cut = true;
+                loop.after(5_000_000 + random.nextInt(25_000_000), () -> cut = false);
+            }
             default -> {
                 trouble = 60;
                 loop.after(random.nextInt(15_000_000), () -> trouble = 4);
