--- a/src/main/java/org/woadloom/leader/Election.java
+++ b/src/main/java/org/woadloom/leader/Election.java
@@ -148,6 +148,8 @@
 
     private void campaign() {
         role = Role.CANDIDATE;
+        // The key as it is now: whoever takes it meanwhile is not to be deposed by a campaign against another.
+        long leaderStamp = current == null ? 0 : currentStamp;
         state.grant(GRANT_MICROS, (result, granted) -> {
             if (result != Result.OK) {
                 failed();
@@ -157,9 +159,9 @@
             state.get(Urgency.URGENT, Keys.TERM, (read, entry, generation) -> {
                 try {
                     if (read == Result.OK) {
-                        take(new Fields(entry.value()).integer("term") + 1, entry.stamp());
+                        take(leaderStamp, new Fields(entry.value()).integer("term") + 1, entry.stamp());
                     } else if (read == Result.NOT_FOUND) {
-                        take(1, 0);
+                        take(leaderStamp, 1, 0);
                     } else {
                         failed();
                     }
@@ -171,8 +173,7 @@
         });
     }
 
-    private void take(long newTerm, long termStamp) {
-        long leaderStamp = current == null ? 0 : currentStamp;
+    private void take(long leaderStamp, long newTerm, long termStamp) {
         Map<String, Object> termValue = new LinkedHashMap<>();
         termValue.put("term", newTerm);
         state.txn(Urgency.URGENT, List.of(new Condition(Keys.LEADER, leaderStamp),
