--- a/src/main/java/org/woadloom/core/placement/Placer.java
+++ b/src/main/java/org/woadloom/core/placement/Placer.java
@@ -144,9 +144,8 @@
         if (job.description.service()) {
             // Replicas on one machine are lost together.
             score -= 1000.0 * replicasOn(job, machine);
-        } else if (staysAnyway(machine)) {
-            // The machine is paid for in any case; what runs here lets others be returned. Replicas that need the room
-            // later outrank this work.
+        } else if (machine.reclaimable) {
+            // Ordinary room is for work that may not use spot machines.
             score += 50;
         }
         if (job.description.samePlace() && job.placements().isEmpty()) {
@@ -171,15 +170,6 @@
         return room;
     }
 
-    private static boolean staysAnyway(Machine machine) {
-        for (Placement placement : machine.placements()) {
-            if (placement.job.description.service()) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     private static int replicasOn(Job job, Machine machine) {
         int count = 0;
         for (Placement placement : job.placements()) {
