--- a/src/main/java/org/woadloom/core/placement/Placer.java
+++ b/src/main/java/org/woadloom/core/placement/Placer.java
@@ -22,7 +22,6 @@
     private final World world;
     private final Eligibility eligibility;
     private final Reservations reservations;
-    private final Map<String, Double> scarcity = new LinkedHashMap<>();
 
     public Placer(World world, Eligibility eligibility, Reservations reservations) {
         this.world = world;
@@ -51,28 +50,12 @@
     }
 
     public void place() {
-        weighYards();
         long attempt = world.newAttempt();
         for (Job job : queue()) {
             placeJob(job, attempt);
         }
     }
 
-    /** How much less ordinary room each zone has than the largest one. */
-    private void weighYards() {
-        Map<String, Long> sizes = new LinkedHashMap<>();
-        long largest = 1;
-        for (Machine machine : world.machines.values()) {
-            if (!machine.reclaimable && eligibility.takesTasks(machine)) {
-                largest = Math.max(largest, sizes.merge(machine.yard, machine.size.cpu(), Long::sum));
-            }
-        }
-        scarcity.clear();
-        for (Map.Entry<String, Long> entry : sizes.entrySet()) {
-            scarcity.put(entry.getKey(), 1.0 - (double) entry.getValue() / largest);
-        }
-    }
-
     private void placeJob(Job job, long attempt) {
         int most = (world.settings.valueBytes() - RECORD_BYTES_FIXED) / RECORD_BYTES_PER_TASK;
         if (job.description.gang() && !gangFits(job, most)) {
@@ -172,10 +155,6 @@
         if (job.description.apart()) {
             score -= 10.0 * job.placedIn(machine.yard);
         }
-        if (!machine.reclaimable) {
-            // Work that must spread over zones needs the small ones; what can go elsewhere leaves them alone.
-            score -= (job.description.service() ? 300 : 60) * scarcity.getOrDefault(machine.yard, 0.0);
-        }
         // Fullest first, so that idle machines can be returned.
         score += 20.0 * machine.used().cpu() / Math.max(1, machine.size.cpu());
         return score;
