--- a/src/main/java/org/woadloom/core/capacity/Capacity.java
+++ b/src/main/java/org/woadloom/core/capacity/Capacity.java
@@ -8,6 +8,7 @@
 import org.woadloom.core.Effect;
 import org.woadloom.core.World;
 import org.woadloom.core.jobs.Job;
+import org.woadloom.core.jobs.Placement;
 import org.woadloom.core.machines.Machine;
 import org.woadloom.core.machines.MachineTable;
 import org.woadloom.core.placement.Eligibility;
@@ -23,6 +24,7 @@
     private static final int MAX_CLAIMS = 4;
     private static final long REVIEW_MICROS = 500_000;
     private static final long NO_CAPACITY_MICROS = 15_000_000;
+    private static final long SILENCE_MARGIN_MICROS = 1_000_000;
     private static final long REPEAT_MICROS = 1_500_000;
 
     private final World world;
@@ -214,7 +216,11 @@
             if (machine.leaving || machine.deleted || reservations.holdsAny(machine)) {
                 continue;
             }
-            if (neverCame(machine) || lost(machine) || machine.takenMicros >= 0 && machine.empty()) {
+            if (replicasSilent(machine)) {
+                machine.leaving = true;
+                machine.abandoned = true;
+                world.note("machine " + machine.host + " is given up: silent, and replicas are down with it");
+            } else if (neverCame(machine) || lost(machine) || machine.takenMicros >= 0 && machine.empty()) {
                 machine.leaving = true;
                 world.note("machine " + machine.host + " is given up");
             } else if (machine.heard() && machine.empty() && eligibility.takesTasks(machine)
@@ -227,6 +233,39 @@
         }
     }
 
+    /**
+     * Replicas on a silent machine serve nobody. Deleting it proves that they are gone long before its lease would.
+     * Where much of a zone is silent at once, the fault is elsewhere, and the machines are left alone.
+     */
+    private boolean replicasSilent(Machine machine) {
+        if (!machine.up() || silence(machine) < 3 * world.settings.reportMicros() + SILENCE_MARGIN_MICROS
+                || !hasReplicas(machine)) {
+            return false;
+        }
+        int all = 0;
+        int silent = 0;
+        for (Machine other : world.machines.values()) {
+            if (other.yard.equals(machine.yard) && other.up() && !other.deleted) {
+                all++;
+                silent += silence(other) > 2 * world.settings.reportMicros() ? 1 : 0;
+            }
+        }
+        return silent * 3 <= all || silent == 1;
+    }
+
+    private long silence(Machine machine) {
+        return world.nowMicros - Math.max(machine.lastHeardMicros, world.startedMicros);
+    }
+
+    private static boolean hasReplicas(Machine machine) {
+        for (Placement placement : machine.placements()) {
+            if (placement.job.description.service() && !placement.halting) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private boolean neverCame(Machine machine) {
         if (machine.heard() || machine.type == null || !machine.empty()) {
             return false;
@@ -237,10 +276,9 @@
 
     /** A worker that is silent for longer than a lease has lost its tasks; deleting the machine proves it. */
     private boolean lost(Machine machine) {
-        long silence = world.nowMicros - Math.max(machine.lastHeardMicros, world.startedMicros);
         if (!machine.heard()) {
-            return !machine.empty() && silence > world.settings.leaseOverMicros() + 2_000_000;
+            return !machine.empty() && silence(machine) > world.settings.leaseOverMicros() + 2_000_000;
         }
-        return silence > world.settings.leaseOverMicros() + 20_000_000;
+        return silence(machine) > world.settings.leaseOverMicros() + 20_000_000;
     }
 }
--- a/src/main/java/org/woadloom/core/machines/Machine.java
+++ b/src/main/java/org/woadloom/core/machines/Machine.java
@@ -52,6 +52,8 @@
     public boolean deleting;
     public boolean deleted;
     public boolean listedFailed;
+    /** Given up while its lease may still run: it is deleted without being emptied. */
+    public boolean abandoned;
 
     // Direct commands.
     public long sendInFlight;
--- a/src/main/java/org/woadloom/core/machines/MachineTable.java
+++ b/src/main/java/org/woadloom/core/machines/MachineTable.java
@@ -110,7 +110,7 @@
 
     /** A machine that still answers is emptied first; one that is lost is deleted to get proof. */
     private boolean deletable(Machine machine) {
-        return machine.empty() || machine.listedFailed || !machine.up()
+        return machine.empty() || machine.listedFailed || machine.abandoned || !machine.up()
                 || world.nowMicros - machine.lastHeardMicros > world.settings.leaseMicros() / 2;
     }
 
