--- a/src/main/java/org/woadloom/core/placement/Preemption.java
+++ b/src/main/java/org/woadloom/core/placement/Preemption.java
@@ -19,11 +19,14 @@
  * beyond its own.
  */
 public final class Preemption {
+    private static final long MOVE_MICROS = 5_000_000;
+
     private final World world;
     private final Eligibility eligibility;
     private final Placer placer;
     private final Reservations reservations;
     private final Gathering gathering;
+    private long nextMoveMicros;
 
     public Preemption(World world, Eligibility eligibility, Placer placer, Reservations reservations,
             Gathering gathering) {
@@ -51,7 +54,50 @@
                     wanted -= free(job, machine, wanted);
                 }
             }
+            if (wanted > 0 && job.description.service()) {
+                moveReplica(job);
+            }
+        }
+    }
+
+    /**
+     * Replicas that must spread may find the only zone that is left to them full of replicas that could as well be
+     * elsewhere. One of those moves, at most one in a while, and only to a machine that has room and its image.
+     */
+    private void moveReplica(Job job) {
+        if (world.nowMicros < nextMoveMicros) {
+            return;
+        }
+        for (Machine machine : world.machines.values()) {
+            if (!eligibility.takesTasks(machine) || !eligibility.allows(job, machine)) {
+                continue;
+            }
+            for (Placement placement : machine.placements()) {
+                Room coming = reservations.balance(machine, null).plus(placement.job.room);
+                if (placement.job != job && placement.job.description.service() && !placement.halting
+                        && placement.stage == Placement.Stage.THERE && coming.holds(job.room)
+                        && hasRoomElsewhere(placement)
+                        && reservations.reserve(job, machine, job.room, true, true) != null) {
+                    world.note("replica " + placement.task() + " moves away from " + machine.yard + " for job "
+                            + job.uid());
+                    nextMoveMicros = world.nowMicros + MOVE_MICROS;
+                    stop(placement);
+                    return;
+                }
+            }
+        }
+    }
+
+    private boolean hasRoomElsewhere(Placement placement) {
+        Job job = placement.job;
+        for (Machine machine : world.machines.values()) {
+            if (!machine.yard.equals(placement.machine.yard) && eligibility.takesTasks(machine)
+                    && eligibility.allows(job, machine) && machine.images.has(job.description.bundle())
+                    && reservations.unreserved(machine, job).holds(job.room)) {
+                return true;
+            }
         }
+        return false;
     }
 
     /** A job that gathers has its machines: what may be stopped there makes way. */
