Preemption takes borrowers first, then what can save

The order of victims is the one that the design names; before, only rank and age of the placement counted.

--- a/src/main/java/org/woadloom/core/placement/Preemption.java
+++ b/src/main/java/org/woadloom/core/placement/Preemption.java
@@ -141,7 +141,10 @@
                 victims.add(placement);
             }
         }
+        // The lowest rank first, then borrowers, then what can save, then what has run least.
         victims.sort(Comparator.comparing((Placement p) -> p.job.description.rank())
+                .thenComparing(p -> !p.job.team.beyondGuarantee())
+                .thenComparing(p -> p.job.description.snapshotEveryS() == 0)
                 .thenComparingLong(p -> -p.placedMicros));
         List<Placement> chosen = new ArrayList<>();
         for (Placement victim : victims) {
