--- a/src/main/java/org/woadloom/core/Core.java
+++ b/src/main/java/org/woadloom/core/Core.java
@@ -25,6 +25,10 @@
  * reads a clock, a file or a socket.
  */
 public final class Core {
+    private static final long SWEEP_MICROS = 100_000;
+    /** Backoffs, quarantines and reservations end by themselves. */
+    private static final long SEARCH_MICROS = 500_000;
+
     private final CoreSettings settings;
     private List<MachineType> types = List.of();
     private Leadership leadership;
@@ -43,6 +47,8 @@
         final Placer placer;
         final Preemption preemption;
         final Capacity capacity;
+        long sweepMicros;
+        long searchMicros;
 
         Leadership(World world) {
             this.world = world;
@@ -56,7 +62,7 @@
             reservations = new Reservations(world);
             gathering = new Gathering(world, eligibility, reservations);
             placer = new Placer(world, eligibility, reservations);
-            preemption = new Preemption(world, eligibility, placer, reservations, gathering);
+            preemption = new Preemption(world, eligibility, reservations, gathering);
             capacity = new Capacity(world, eligibility, placer, machines, reservations);
         }
     }
@@ -147,20 +153,33 @@
         }
     }
 
+    /**
+     * What changed is dealt with at once. What only time brings about is looked for now and then, as a walk over hundreds
+     * of machines for each report would cost more than the reports.
+     */
     private static void work(Leadership l) {
-        endLeases(l);
-        drain(l);
-        l.recorder.release();
-        List<Reservation> failed = l.reservations.sync();
-        l.placer.place();
-        l.gathering.gather(failed, l.placer.queue());
-        l.preemption.makeRoom();
+        World world = l.world;
+        boolean sweep = world.nowMicros >= l.sweepMicros;
+        if (sweep) {
+            l.sweepMicros = world.nowMicros + SWEEP_MICROS;
+            endLeases(l);
+            drain(l);
+            l.machines.forget();
+            l.reports.forget();
+        }
+        if (world.placementWorthTrying || world.nowMicros >= l.searchMicros) {
+            world.placementWorthTrying = false;
+            l.searchMicros = world.nowMicros + SEARCH_MICROS;
+            List<Reservation> failed = l.reservations.sync();
+            l.placer.place();
+            List<Job> queue = l.placer.queue();
+            l.gathering.gather(failed, queue);
+            l.preemption.makeRoom(queue);
+        }
         l.capacity.review();
         l.recorder.emitWrites();
         l.machines.emitWrites();
         l.directs.emitSends();
-        l.machines.forget();
-        l.reports.forget();
     }
 
     /** A worker that we alone answer, and have not answered for longer than its lease, has killed its tasks. */
@@ -186,9 +205,8 @@
                 Job job = placement.job;
                 if (placement.neverSent()) {
                     l.losses.gone(placement);
-                } else if (!placement.halting && (machine.leaving || job.description.snapshotEveryS() > 0)) {
-                    placement.halting = true;
-                    placement.windDownS = job.description.snapshotCostS();
+                } else if (!placement.halting() && (machine.leaving || job.description.snapshotEveryS() > 0)) {
+                    placement.halt(job.description.snapshotCostS());
                 }
             }
         }
--- a/src/main/java/org/woadloom/core/capacity/Capacity.java
+++ b/src/main/java/org/woadloom/core/capacity/Capacity.java
@@ -99,7 +99,7 @@
         List<Supply> supply = new ArrayList<>();
         for (Machine machine : world.machines.values()) {
             if (!machine.heard() && !machine.leaving && !machine.deleted && machine.type != null) {
-                supply.add(new Supply(new Kind(machine.type, machine.yard, machine.reclaimable), machine.size));
+                supply.add(new Supply(new Kind(machine.type, machine.yard, machine.reclaimable), machine.size()));
             }
         }
         for (Claim claim : claims.values()) {
@@ -225,9 +225,9 @@
                 world.note("machine " + machine.host + " is given up");
             } else if (machine.heard() && machine.empty() && eligibility.takesTasks(machine)
                     && world.nowMicros - machine.idleSinceMicros > world.settings.operator().idleReturnMicros()
-                    && free.minus(machine.size).cpu() > used.cpu() * headroom) {
+                    && free.minus(machine.size()).cpu() > used.cpu() * headroom) {
                 machine.leaving = true;
-                free = free.minus(machine.size);
+                free = free.minus(machine.size());
                 world.note("machine " + machine.host + " is returned: idle");
             }
         }
@@ -259,7 +259,7 @@
 
     private static boolean hasReplicas(Machine machine) {
         for (Placement placement : machine.placements()) {
-            if (placement.job.description.service() && !placement.halting) {
+            if (placement.job.description.service() && !placement.halting()) {
                 return true;
             }
         }
--- a/src/main/java/org/woadloom/core/jobs/Job.java
+++ b/src/main/java/org/woadloom/core/jobs/Job.java
@@ -109,6 +109,15 @@
         team.subtract(room);
     }
 
+    /** Placements whose record has become durable may be launched. */
+    public void release() {
+        for (Placement placement : placements.values()) {
+            if (placement.stage == Placement.Stage.PLANNED && placement.version <= recording.durable) {
+                placement.ready();
+            }
+        }
+    }
+
     public boolean markDone(int index) {
         if (done.get(index)) {
             return false;
--- a/src/main/java/org/woadloom/core/jobs/JobTable.java
+++ b/src/main/java/org/woadloom/core/jobs/JobTable.java
@@ -34,7 +34,7 @@
                 placement.stage = Placement.Stage.INHERITED;
                 job.add(placement);
                 if (job.over() || job.done.get(i)) {
-                    placement.halting = true;
+                    placement.halt(0);
                 }
             }
         }
@@ -64,6 +64,7 @@
         if (record.term() == world.term && record.version() > recording.durable) {
             // One of this term's own writes: it is durable, whatever became of the answer.
             recording.durable = record.version();
+            job.release();
         }
         recording.stamp = stamp;
         if (record.cancelled() && !job.cancelled) {
@@ -129,8 +130,7 @@
             if (placement.neverSent()) {
                 job.remove(placement);
             } else {
-                placement.halting = true;
-                placement.windDownS = 0;
+                placement.halt(0);
             }
         }
     }
--- a/src/main/java/org/woadloom/core/jobs/Placement.java
+++ b/src/main/java/org/woadloom/core/jobs/Placement.java
@@ -40,8 +40,8 @@
     public long answeredTick;
     public TaskReport.State seen;
     public long runningSinceMicros = -1;
-    /** Set when the task is to stop; the launch is never sent again then. */
-    public boolean halting;
+    private final TaskId task;
+    private boolean halting;
     public long haltSentMicros = -1;
     public double windDownS;
 
@@ -52,10 +52,31 @@
         this.attempt = attempt;
         this.version = version;
         this.placedMicros = nowMicros;
+        this.task = new TaskId(job.uid(), index);
     }
 
     public TaskId task() {
-        return new TaskId(job.uid(), index);
+        return task;
+    }
+
+    /** True for a task that is to stop; its launch is never sent again. */
+    public boolean halting() {
+        return halting;
+    }
+
+    /** The task is to stop, with this much time to save. */
+    public void halt(double windDown) {
+        windDownS = windDown;
+        if (!halting) {
+            halting = true;
+            machine.halted(this);
+        }
+    }
+
+    /** The launch may be sent, or sent again. */
+    public void ready() {
+        stage = Stage.READY;
+        machine.attention = true;
     }
 
     /** True while no launch of this attempt can ever have left. */
--- a/src/main/java/org/woadloom/core/jobs/Recorder.java
+++ b/src/main/java/org/woadloom/core/jobs/Recorder.java
@@ -1,6 +1,5 @@
 package org.woadloom.core.jobs;
 
-import java.util.ArrayList;
 import org.woadloom.core.Command;
 import org.woadloom.core.Effect;
 import org.woadloom.core.World;
@@ -21,9 +20,9 @@
     }
 
     public void emitWrites() {
-        for (Job job : new ArrayList<>(world.jobs.values())) {
+        for (Job job : world.jobs.values()) {
             Recording recording = job.recording;
-            if (world.nowMicros < recording.retryMicros) {
+            if (recording.need == Recording.Need.NONE && !recording.reading || world.nowMicros < recording.retryMicros) {
                 continue;
             }
             if (recording.reading) {
@@ -70,6 +69,7 @@
             case WRITTEN -> {
                 boolean finishing = recording.finishing && recording.writing == result.version();
                 recording.confirmed(result.version(), result.stamp());
+                job.release();
                 if (finishing) {
                     world.note("job " + job.uid() + (job.cancelled ? " cancelled and gone" : " done"));
                     table.finished(job);
@@ -101,15 +101,4 @@
             job.recording.retryMicros = world.nowMicros + RETRY_MICROS;
         }
     }
-
-    /** Placements whose record has become durable may be launched. */
-    public void release() {
-        for (Job job : world.jobs.values()) {
-            for (Placement placement : job.placements()) {
-                if (placement.stage == Placement.Stage.PLANNED && placement.version <= job.recording.durable) {
-                    placement.stage = Placement.Stage.READY;
-                }
-            }
-        }
-    }
 }
--- a/src/main/java/org/woadloom/core/machines/Directs.java
+++ b/src/main/java/org/woadloom/core/machines/Directs.java
@@ -30,7 +30,7 @@
 
     public void emitSends() {
         for (Machine machine : world.machines.values()) {
-            if (machine.sendInFlight == 0 && machine.heard() && !machine.deleted && !machine.addr.isEmpty()
+            if (machine.attention && machine.sendInFlight == 0 && machine.heard() && !machine.deleted && !machine.addr.isEmpty()
                     && machine.directWorks(world.nowMicros) && machine.tenure >= machine.leastTenure) {
                 send(machine);
             }
@@ -40,25 +40,28 @@
     private void send(Machine machine) {
         List<Order> orders = new ArrayList<>();
         List<Placement> launches = new ArrayList<>();
+        boolean all = true;
         if (machine.acknowledged()) {
             for (Placement placement : machine.placements()) {
                 if (orders.size() >= MAX_ORDERS) {
+                    all = false;
                     break;
                 }
-                if (placement.stage == Stage.READY && !placement.halting) {
+                if (placement.stage == Stage.READY && !placement.halting()) {
                     orders.add(Order.launch(placement.task(), placement.attempt));
                     launches.add(placement);
-                } else if (placement.halting && !placement.neverSent() && placement.haltSentMicros < 0) {
+                } else if (placement.halting() && !placement.neverSent() && placement.haltSentMicros < 0) {
                     placement.haltSentMicros = world.nowMicros;
                     // Halts come first, so that the room they free is there for the launches.
                     orders.add(0, Order.halt(placement.task(), placement.attempt, placement.windDownS));
                 }
             }
         }
-        if (orders.isEmpty() && !machine.greet) {
+        machine.attention = !all;
+        boolean greet = machine.takeGreeting();
+        if (orders.isEmpty() && !greet) {
             return;
         }
-        machine.greet = false;
         long id = world.newSend();
         machine.sendInFlight = id;
         for (Placement placement : launches) {
@@ -77,6 +80,7 @@
         }
         if (machine.sendInFlight == result.sendId()) {
             machine.sendInFlight = 0;
+            machine.attention = true;
         }
         launches.removeIf(placement -> placement.job.placement(placement.index) != placement);
         if (result.report() != null && result.report().epoch() > machine.token()) {
@@ -104,10 +108,10 @@
         if (placement.stage != Stage.SENT) {
             return;
         }
-        if (placement.halting) {
+        if (placement.halting()) {
             losses.gone(placement);
         } else {
-            placement.stage = Stage.READY;
+            placement.ready();
         }
     }
 
@@ -121,7 +125,7 @@
         }
         if (!launches.isEmpty()) {
             machine.raiseFence();
-            machine.greet = true;
+            machine.greet();
             world.note("no answer from " + machine.host + " to " + launches.size() + " launches");
         }
         for (Placement placement : machine.placements()) {
--- a/src/main/java/org/woadloom/core/machines/Machine.java
+++ b/src/main/java/org/woadloom/core/machines/Machine.java
@@ -9,6 +9,7 @@
 import org.woadloom.core.placement.Room;
 import org.woadloom.state.MachineRecord;
 import org.woadloom.wire.MachineType;
+import org.woadloom.wire.Rank;
 import org.woadloom.wire.TaskId;
 
 /** A machine as the leader knows it. */
@@ -22,7 +23,7 @@
     private final long term;
     private long fence;
     public MachineType type;
-    public Room size = Room.NONE;
+    private Room size = Room.NONE;
     public String addr = "";
 
     // What the worker has said.
@@ -58,7 +59,9 @@
     // Direct commands.
     public long sendInFlight;
     public long directAgainMicros;
-    public boolean greet;
+    private boolean greet;
+    /** Set when there may be something to send: the others are passed over without a look at their tasks. */
+    public boolean attention;
 
     public long quarantinedUntilMicros;
     public long fullUntilMicros;
@@ -66,6 +69,11 @@
     public final ImageCache images = new ImageCache();
     private final Map<TaskId, Placement> placements = new LinkedHashMap<>();
     private Room used = Room.NONE;
+    /** What is in use taken from the size, or null after a change. */
+    private Room room;
+    /** How many tasks of each rank are here that have not been told to stop. */
+    private final int[] byRank = new int[Rank.values().length];
+    private int halting;
 
     public Machine(MachineRecord record, long term, long nowMicros) {
         this.host = record.host();
@@ -89,6 +97,18 @@
         return (term << FENCE_BITS) | fence;
     }
 
+    /** Has the present token sent to the worker, with or without orders. */
+    public void greet() {
+        greet = true;
+        attention = true;
+    }
+
+    boolean takeGreeting() {
+        boolean due = greet;
+        greet = false;
+        return due;
+    }
+
     /** Voids every command that was sent under the present token and has not arrived. */
     public void raiseFence() {
         fence++;
@@ -116,11 +136,23 @@
     public void add(Placement placement) {
         placements.put(placement.task(), placement);
         used = used.plus(placement.job.room);
+        room = null;
+        if (placement.halting()) {
+            halting++;
+        } else {
+            byRank[placement.job.description.rank().ordinal()]++;
+        }
     }
 
     public void remove(Placement placement) {
         if (placements.remove(placement.task(), placement)) {
             used = used.minus(placement.job.room);
+            room = null;
+            if (placement.halting()) {
+                halting--;
+            } else {
+                byRank[placement.job.description.rank().ordinal()]--;
+            }
         }
     }
 
@@ -141,7 +173,48 @@
         return used;
     }
 
+    public Room size() {
+        return size;
+    }
+
+    public void resize(Room to) {
+        size = to;
+        room = null;
+    }
+
+    /** Its size without what is in use; negative where more is recorded than it has. */
+    public Room room() {
+        if (room == null) {
+            room = size.minus(used);
+        }
+        return room;
+    }
+
     public Room free() {
-        return size.minus(used).floor();
+        return room().floor();
+    }
+
+    /** To be called when a task that is here is told to stop. */
+    public void halted(Placement placement) {
+        attention = true;
+        if (placements.get(placement.task()) == placement) {
+            byRank[placement.job.description.rank().ordinal()]--;
+            halting++;
+        }
+    }
+
+    /** True if room will come free here without anything more being stopped. */
+    public boolean hasHalting() {
+        return halting > 0;
+    }
+
+    /** True if a task of a lower rank is here that has not been told to stop. */
+    public boolean hasBelow(Rank rank) {
+        for (int i = 0; i < rank.ordinal(); i++) {
+            if (byRank[i] > 0) {
+                return true;
+            }
+        }
+        return false;
     }
 }
--- a/src/main/java/org/woadloom/core/machines/MachineTable.java
+++ b/src/main/java/org/woadloom/core/machines/MachineTable.java
@@ -55,7 +55,7 @@
 
     private void setType(Machine machine) {
         machine.type = world.types.get(machine.hosttype);
-        machine.size = machine.type == null ? Room.NONE : Room.of(machine.type);
+        machine.resize(machine.type == null ? Room.NONE : Room.of(machine.type));
     }
 
     public void listed(List<ListedMachine> machines) {
--- a/src/main/java/org/woadloom/core/machines/Reports.java
+++ b/src/main/java/org/woadloom/core/machines/Reports.java
@@ -54,7 +54,7 @@
         List<Order> orders = current && machine.acknowledged() && !machine.deleted ? orders(machine, report)
                 : List.of();
         if (current && !machine.acknowledged()) {
-            machine.greet = true;
+            machine.greet();
         }
         world.emit(new Effect.Answer(command.replyId(), machine.token(), orders));
     }
@@ -84,6 +84,7 @@
             machine.idleSinceMicros = world.nowMicros;
             world.note("machine " + machine.host + " is up in " + machine.yard);
         }
+        machine.attention |= newSession || first;
         machine.lastHeardMicros = world.nowMicros;
         machine.addr = report.addr();
         if (report.warningMicros() >= 0) {
@@ -165,10 +166,10 @@
             case ANSWERED -> {
                 // A worker has one report in flight: this one was made after the answer was executed or dropped.
                 if (own && report.tick() > placement.answeredTick) {
-                    if (placement.halting) {
+                    if (placement.halting()) {
                         losses.gone(placement);
                     } else {
-                        placement.stage = Stage.READY;
+                        placement.ready();
                     }
                 }
             }
@@ -241,7 +242,7 @@
             if (other != null && other.neverSent()) {
                 losses.gone(other);
             } else if (other != null) {
-                other.halting = true;
+                other.halt(0);
             }
             job.recording.needs(job.allDone() ? Recording.Need.LAUNCH : Recording.Need.OUTCOME);
             noteExit(machine, task, job.recording.nextVersion());
@@ -283,9 +284,9 @@
             if (orders.size() >= MAX_ORDERS) {
                 break;
             }
-            if (placement.halting && !placement.neverSent()) {
+            if (placement.halting() && !placement.neverSent()) {
                 orders.add(Order.halt(placement.task(), placement.attempt, placement.windDownS));
-            } else if (placement.stage == Stage.READY && !direct && !placement.halting) {
+            } else if (placement.stage == Stage.READY && !direct && !placement.halting()) {
                 placement.stage = Stage.ANSWERED;
                 placement.answeredTick = report.tick();
                 placement.sentToken = machine.token();
--- /dev/null
+++ b/src/main/java/org/woadloom/core/placement/Candidates.java
@@ -0,0 +1,137 @@
+package org.woadloom.core.placement;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import org.woadloom.core.jobs.Job;
+import org.woadloom.core.jobs.Placement;
+import org.woadloom.core.machines.Machine;
+import org.woadloom.core.reservation.Reservations;
+
+/**
+ * The machines for one job's tasks, best first. All are looked at once; after that only what comes to the top is looked
+ * at again. That is as good as looking at all each time, since placing a task makes no machine but its own better.
+ */
+final class Candidates {
+    private final Job job;
+    private final Eligibility eligibility;
+    private final Reservations reservations;
+    private final PriorityQueue<Candidate> queue = new PriorityQueue<>();
+    /** Replicas of the job by machine; empty for other jobs. */
+    private final Map<Machine, Integer> replicas = new HashMap<>();
+    private final Map<String, Integer> roomByYard = new HashMap<>();
+    private Candidate taken;
+
+    private static final class Candidate implements Comparable<Candidate> {
+        final Machine machine;
+        final int order;
+        double score;
+
+        Candidate(Machine machine, int order) {
+            this.machine = machine;
+            this.order = order;
+        }
+
+        @Override
+        public int compareTo(Candidate other) {
+            int byScore = Double.compare(other.score, score);
+            return byScore != 0 ? byScore : Integer.compare(order, other.order);
+        }
+    }
+
+    Candidates(Job job, List<Machine> open, Eligibility eligibility, Reservations reservations) {
+        this.job = job;
+        this.eligibility = eligibility;
+        this.reservations = reservations;
+        if (job.description.service()) {
+            for (Placement placement : job.placements()) {
+                replicas.merge(placement.machine, 1, Integer::sum);
+            }
+        }
+        if (startsTogether()) {
+            for (Machine machine : open) {
+                if (eligibility.allows(job, machine)) {
+                    roomByYard.merge(machine.yard, reservations.unreserved(machine, job).count(job.room),
+                            Integer::sum);
+                }
+            }
+        }
+        int order = 0;
+        for (Machine machine : open) {
+            Candidate candidate = new Candidate(machine, order++);
+            if (fits(machine)) {
+                candidate.score = score(machine);
+                queue.add(candidate);
+            }
+        }
+    }
+
+    /** The best machine that has room for one more task, or null. */
+    Machine next() {
+        while (!queue.isEmpty()) {
+            Candidate first = queue.poll();
+            if (!fits(first.machine)) {
+                continue;
+            }
+            double score = score(first.machine);
+            if (score < first.score) {
+                first.score = score;
+                queue.add(first);
+                continue;
+            }
+            taken = first;
+            return first.machine;
+        }
+        return null;
+    }
+
+    /** The machine that came last has got a task, and may take another. */
+    void placed() {
+        if (job.description.service()) {
+            replicas.merge(taken.machine, 1, Integer::sum);
+        }
+        if (fits(taken.machine)) {
+            taken.score = score(taken.machine);
+            queue.add(taken);
+        }
+    }
+
+    private boolean startsTogether() {
+        return job.description.samePlace() && job.placements().isEmpty();
+    }
+
+    private boolean fits(Machine machine) {
+        return reservations.unreserved(machine, job).holds(job.room)
+                && job.team.allowed(job.room, reservations.credit(job, machine)) >= 1
+                && eligibility.allows(job, machine) && !job.failedOn.contains(machine.host);
+    }
+
+    private double score(Machine machine) {
+        double score = 0;
+        if (reservations.match(job, machine) != null) {
+            // The reservation is drawn before the machine.
+            score += 100_000;
+        }
+        if (machine.images.has(job.description.bundle())) {
+            score += 100;
+        }
+        if (job.description.service()) {
+            // Replicas on one machine are lost together.
+            score -= 1000.0 * replicas.getOrDefault(machine, 0);
+        } else if (machine.reclaimable) {
+            // Ordinary room is for work that may not use spot machines.
+            score += 50;
+        }
+        if (startsTogether()) {
+            // The first task fixes the zone, so it goes where most of the others fit.
+            score += 1000.0 * Math.min(job.pending(), roomByYard.getOrDefault(machine.yard, 0));
+        }
+        if (job.description.apart()) {
+            score -= 10.0 * job.placedIn(machine.yard);
+        }
+        // Fullest first, so that idle machines can be returned.
+        score += 20.0 * machine.used().cpu() / Math.max(1, machine.size().cpu());
+        return score;
+    }
+}
--- a/src/main/java/org/woadloom/core/placement/Placer.java
+++ b/src/main/java/org/woadloom/core/placement/Placer.java
@@ -49,25 +49,52 @@
         return jobs;
     }
 
+    /** Places what finds room. */
     public void place() {
         long attempt = world.newAttempt();
+        List<Machine> open = null;
+        List<Shape> without = new ArrayList<>();
         for (Job job : queue()) {
-            placeJob(job, attempt);
+            boolean holds = reservations.heldFor(job) > 0;
+            // Without a reservation to draw from, the limit and what others did not find decide at once.
+            if (!holds && (job.team.allowed(job.room) < 1 || without.stream().anyMatch(shape -> shape.covers(job)))) {
+                continue;
+            }
+            if (open == null) {
+                open = open();
+            }
+            if (placeJob(job, attempt, open) && !holds && Shape.plain(job)) {
+                without.add(Shape.of(job));
+            }
+        }
+    }
+
+    /** Machines that take tasks and have anything left; in one pass they only get fuller. */
+    private List<Machine> open() {
+        List<Machine> open = new ArrayList<>();
+        for (Machine machine : world.machines.values()) {
+            Room room = machine.room();
+            if ((room.cpu() > 0 || room.ram() > 0 || room.card() > 0) && eligibility.takesTasks(machine)) {
+                open.add(machine);
+            }
         }
+        return open;
     }
 
-    private void placeJob(Job job, long attempt) {
+    /** Returns true if the machines have no room for another task of the job. */
+    private boolean placeJob(Job job, long attempt, List<Machine> open) {
         int most = (world.settings.valueBytes() - RECORD_BYTES_FIXED) / RECORD_BYTES_PER_TASK;
-        if (job.description.gang() && !gangFits(job, most)) {
-            return;
+        if (job.placements().size() >= most || job.description.gang() && !gangFits(job, most)) {
+            return false;
         }
+        Candidates candidates = new Candidates(job, open, eligibility, reservations);
         int placed = 0;
-        for (int index = job.nextPending(0); index >= 0; index = job.nextPending(index + 1)) {
-            if (job.placements().size() >= most) {
-                break;
-            }
-            Machine machine = best(job);
+        boolean full = false;
+        for (int index = job.nextPending(0); index >= 0 && job.placements().size() < most;
+                index = job.nextPending(index + 1)) {
+            Machine machine = candidates.next();
             if (machine == null) {
+                full = job.team.allowed(job.room) >= 1;
                 break;
             }
             Placement placement = new Placement(job, index, machine, attempt, job.recording.nextVersion(),
@@ -75,11 +102,13 @@
             reservations.draw(placement);
             job.add(placement);
             job.recording.needs(Recording.Need.LAUNCH);
+            candidates.placed();
             placed++;
         }
         if (placed > 0) {
             world.debug("job " + job.uid() + " places " + placed + " tasks, " + job.pending() + " pending");
         }
+        return full;
     }
 
     /** A gang starts only when all of its tasks that are left find room at once. */
@@ -112,71 +141,4 @@
         }
         return (job.description.samePlace() ? largest : sum) >= wanted;
     }
-
-    private Machine best(Job job) {
-        Machine best = null;
-        double bestScore = 0;
-        for (Machine machine : world.machines.values()) {
-            if (!eligibility.takesTasks(machine) || !reservations.unreserved(machine, job).holds(job.room)
-                    || !machine.free().holds(job.room)
-                    || job.team.allowed(job.room, reservations.credit(job, machine)) < 1
-                    || !eligibility.allows(job, machine) || job.failedOn.contains(machine.host)) {
-                continue;
-            }
-            double score = score(job, machine);
-            if (best == null || score > bestScore) {
-                best = machine;
-                bestScore = score;
-            }
-        }
-        return best;
-    }
-
-    private double score(Job job, Machine machine) {
-        double score = 0;
-        if (reservations.match(job, machine) != null) {
-            // The reservation is drawn before the machine.
-            score += 100_000;
-        }
-        if (machine.images.has(job.description.bundle())) {
-            score += 100;
-        }
-        if (job.description.service()) {
-            // Replicas on one machine are lost together.
-            score -= 1000.0 * replicasOn(job, machine);
-        } else if (machine.reclaimable) {
-            // Ordinary room is for work that may not use spot machines.
-            score += 50;
-        }
-        if (job.description.samePlace() && job.placements().isEmpty()) {
-            // The first task fixes the zone, so it goes where most of the others fit.
-            score += 1000.0 * Math.min(job.pending(), roomIn(job, machine.yard));
-        }
-        if (job.description.apart()) {
-            score -= 10.0 * job.placedIn(machine.yard);
-        }
-        // Fullest first, so that idle machines can be returned.
-        score += 20.0 * machine.used().cpu() / Math.max(1, machine.size.cpu());
-        return score;
-    }
-
-    private int roomIn(Job job, String yard) {
-        int room = 0;
-        for (Machine machine : world.machines.values()) {
-            if (machine.yard.equals(yard) && eligibility.takesTasks(machine) && eligibility.allows(job, machine)) {
-                room += reservations.unreserved(machine, job).count(job.room);
-            }
-        }
-        return room;
-    }
-
-    private static int replicasOn(Job job, Machine machine) {
-        int count = 0;
-        for (Placement placement : job.placements()) {
-            if (placement.machine == machine) {
-                count++;
-            }
-        }
-        return count;
-    }
 }
--- a/src/main/java/org/woadloom/core/placement/Preemption.java
+++ b/src/main/java/org/woadloom/core/placement/Preemption.java
@@ -13,6 +13,8 @@
 import org.woadloom.core.reservation.Gathering;
 import org.woadloom.core.reservation.Reservation;
 import org.woadloom.core.reservation.Reservations;
+import org.woadloom.core.teams.TeamUse;
+import org.woadloom.wire.Rank;
 
 /**
  * Stops tasks to make room: work of a lower rank, and, for work within its team's guarantee, whatever another team runs
@@ -20,38 +22,47 @@
  */
 public final class Preemption {
     private static final long MOVE_MICROS = 5_000_000;
+    private static final long MOVE_SEARCH_MICROS = 1_000_000;
 
     private final World world;
     private final Eligibility eligibility;
-    private final Placer placer;
     private final Reservations reservations;
     private final Gathering gathering;
     private long nextMoveMicros;
 
-    public Preemption(World world, Eligibility eligibility, Placer placer, Reservations reservations,
-            Gathering gathering) {
+    public Preemption(World world, Eligibility eligibility, Reservations reservations, Gathering gathering) {
         this.world = world;
         this.eligibility = eligibility;
-        this.placer = placer;
         this.reservations = reservations;
         this.gathering = gathering;
     }
 
-    public void makeRoom() {
-        for (Job job : placer.queue()) {
+    /** A kind of search that found too little on all machines in this pass. */
+    private record Hopeless(Shape shape, Rank rank, TeamUse borrowersGiveTo) {
+        boolean covers(Job job, boolean fromBorrowers) {
+            return rank.compareTo(job.description.rank()) >= 0
+                    && (!fromBorrowers || borrowersGiveTo == job.team) && shape.covers(job);
+        }
+    }
+
+    public void makeRoom(List<Job> queue) {
+        List<Hopeless> hopeless = new ArrayList<>();
+        for (Job job : queue) {
             if (gathering.gathers(job)) {
                 makeReservedRoom(job);
                 continue;
             }
             // Room that is reserved for the job, or being made for it, is on its way.
-            int wanted = Math.min(job.pending() - reservations.of(job).size(), job.team.allowed(job.room));
-            for (Machine machine : world.machines.values()) {
-                if (wanted <= 0) {
-                    break;
-                }
-                if (eligibility.takesTasks(machine) && eligibility.allows(job, machine)
-                        && machine.size.holds(job.room) && !job.failedOn.contains(machine.host)) {
-                    wanted -= free(job, machine, wanted);
+            int wanted = Math.min(job.pending() - reservations.heldFor(job), job.team.allowed(job.room));
+            if (wanted <= 0) {
+                continue;
+            }
+            boolean fromBorrowers = job.team.withinGuarantee(job.room) && othersBorrow(job.team);
+            if (hopeless.stream().noneMatch(known -> known.covers(job, fromBorrowers))) {
+                wanted = free(job, wanted, fromBorrowers);
+                if (wanted > 0 && Shape.plain(job)) {
+                    hopeless.add(new Hopeless(Shape.of(job), job.description.rank(),
+                            fromBorrowers ? job.team : null));
                 }
             }
             if (wanted > 0 && job.description.service()) {
@@ -60,6 +71,32 @@
         }
     }
 
+    private boolean othersBorrow(TeamUse team) {
+        for (TeamUse other : world.teams.values()) {
+            if (other != team && other.beyondGuarantee()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Makes room where that can be done; returns for how many tasks there is still none. */
+    private int free(Job job, int wanted, boolean fromBorrowers) {
+        int missing = wanted;
+        for (Machine machine : world.machines.values()) {
+            if (missing <= 0) {
+                break;
+            }
+            if ((machine.hasHalting() || machine.hasBelow(job.description.rank())
+                    || fromBorrowers && !machine.empty()) && machine.size().holds(job.room)
+                    && eligibility.takesTasks(machine) && eligibility.allows(job, machine)
+                    && !job.failedOn.contains(machine.host)) {
+                missing -= free(job, machine, missing);
+            }
+        }
+        return missing;
+    }
+
     /**
      * Replicas that must spread may find the only zone that is left to them full of replicas that could as well be
      * elsewhere. One of those moves, at most one in a while, and only to a machine that has room and its image.
@@ -68,13 +105,14 @@
         if (world.nowMicros < nextMoveMicros) {
             return;
         }
+        nextMoveMicros = world.nowMicros + MOVE_SEARCH_MICROS;
         for (Machine machine : world.machines.values()) {
             if (!eligibility.takesTasks(machine) || !eligibility.allows(job, machine)) {
                 continue;
             }
             for (Placement placement : machine.placements()) {
                 Room coming = reservations.balance(machine, null).plus(placement.job.room);
-                if (placement.job != job && placement.job.description.service() && !placement.halting
+                if (placement.job != job && placement.job.description.service() && !placement.halting()
                         && placement.stage == Placement.Stage.THERE && coming.holds(job.room)
                         && hasRoomElsewhere(placement)
                         && reservations.reserve(job, machine, job.room, true, true) != null) {
@@ -135,7 +173,7 @@
         Room coming = free;
         List<Placement> victims = new ArrayList<>();
         for (Placement placement : machine.placements()) {
-            if (placement.halting) {
+            if (placement.halting()) {
                 coming = coming.plus(placement.job.room);
             } else if (mayStop(job, placement)) {
                 victims.add(placement);
@@ -170,9 +208,7 @@
             victim.job.recording.needs(Recording.Need.OUTCOME);
             world.placementWorthTrying = true;
         } else {
-            victim.halting = true;
-            victim.windDownS = victim.job.description.snapshotEveryS() > 0 ? victim.job.description.snapshotCostS()
-                    : 0;
+            victim.halt(victim.job.description.snapshotEveryS() > 0 ? victim.job.description.snapshotCostS() : 0);
         }
     }
 
--- a/src/main/java/org/woadloom/core/reservation/Gathering.java
+++ b/src/main/java/org/woadloom/core/reservation/Gathering.java
@@ -65,7 +65,7 @@
             }
         }
         for (Job job : new ArrayList<>(byYard.values())) {
-            if (job.over() || job.pending() == 0 || !world.jobs.containsValue(job)) {
+            if (job.over() || job.pending() == 0 || world.jobs.get(job.uid()) != job) {
                 end(job);
             }
         }
@@ -148,7 +148,7 @@
         List<Machine> candidates = new ArrayList<>();
         for (Machine machine : world.machines.values()) {
             if (yards.contains(machine.yard) && eligibility.takesTasks(machine) && eligibility.allows(job, machine)
-                    && machine.size.holds(job.room) && !job.failedOn.contains(machine.host)) {
+                    && machine.size().holds(job.room) && !job.failedOn.contains(machine.host)) {
                 candidates.add(machine);
             }
         }
@@ -157,7 +157,7 @@
         Map<String, Integer> inYard = new LinkedHashMap<>();
         List<Machine> chosen = new ArrayList<>();
         for (Machine machine : candidates) {
-            int room = machine.size.count(job.room);
+            int room = machine.size().count(job.room);
             while (room > 0 && chosen.size() < wanted
                     && job.placedIn(machine.yard) + inYard.getOrDefault(machine.yard, 0) < perYard) {
                 chosen.add(machine);
--- a/src/main/java/org/woadloom/core/reservation/Reservations.java
+++ b/src/main/java/org/woadloom/core/reservation/Reservations.java
@@ -1,6 +1,7 @@
 package org.woadloom.core.reservation;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,6 +19,9 @@
 public final class Reservations {
     private final World world;
     private final Map<Long, Reservation> live = new LinkedHashMap<>();
+    /** The live ones again, in the order in which they were made: hundreds of machines are asked for theirs in a pass. */
+    private final Map<Machine, List<Reservation>> byMachine = new HashMap<>();
+    private final Map<Job, List<Reservation>> byOwner = new HashMap<>();
     private long ids;
 
     public Reservations(World world) {
@@ -32,7 +36,7 @@
      */
     public Reservation reserve(Job owner, Machine machine, Room template, boolean allocateOnce,
             boolean preAllocation) {
-        if (owner.team.allowed(template) < 1 || !machine.size.holds(template)) {
+        if (owner.team.allowed(template) < 1 || !machine.size().holds(template)) {
             return null;
         }
         if (!preAllocation && !unreserved(machine, null).holds(template)) {
@@ -45,6 +49,8 @@
         Reservation reservation = new Reservation(++ids, template, owner, machine, allocateOnce, preAllocation,
                 world.nowMicros + world.settings.operator().reservationTtlMicros());
         live.put(reservation.id, reservation);
+        byMachine.computeIfAbsent(machine, m -> new ArrayList<>(2)).add(reservation);
+        byOwner.computeIfAbsent(owner, j -> new ArrayList<>(2)).add(reservation);
         owner.team.add(template);
         reservation.become(Phase.WAITING);
         settle(reservation);
@@ -52,8 +58,8 @@
     }
 
     private Reservation reusable(Job owner, Machine machine) {
-        for (Reservation reservation : live.values()) {
-            if (reservation.owner == owner && reservation.machine == machine && !reservation.allocateOnce) {
+        for (Reservation reservation : on(machine)) {
+            if (reservation.owner == owner && !reservation.allocateOnce) {
                 return reservation;
             }
         }
@@ -66,15 +72,13 @@
             return;
         }
         Room before = Room.NONE;
-        for (Reservation other : live.values()) {
+        for (Reservation other : on(reservation.machine)) {
             if (other == reservation) {
                 break;
             }
-            if (other.machine == reservation.machine) {
-                before = before.plus(other.remaining());
-            }
+            before = before.plus(other.remaining());
         }
-        if (reservation.machine.size.minus(reservation.machine.used()).minus(before)
+        if (reservation.machine.room().minus(before)
                 .holds(reservation.remaining())) {
             reservation.become(Phase.AVAILABLE);
         }
@@ -104,16 +108,30 @@
     /** Gives the room back; the reservation can't be drawn any more. */
     public void release(Reservation reservation) {
         end(reservation, Phase.FAILED);
+        world.placementWorthTrying = true;
     }
 
     private void end(Reservation reservation, Phase phase) {
         if (live.remove(reservation.id) != null) {
+            drop(byMachine, reservation.machine, reservation);
+            drop(byOwner, reservation.owner, reservation);
             reservation.owner.team.subtract(reservation.remaining());
             reservation.become(phase);
-            world.placementWorthTrying = true;
         }
     }
 
+    private static <K> void drop(Map<K, List<Reservation>> index, K key, Reservation reservation) {
+        List<Reservation> list = index.get(key);
+        list.remove(reservation);
+        if (list.isEmpty()) {
+            index.remove(key);
+        }
+    }
+
+    private List<Reservation> on(Machine machine) {
+        return byMachine.getOrDefault(machine, List.of());
+    }
+
     public void renew(Reservation reservation) {
         reservation.renew(world.nowMicros + world.settings.operator().reservationTtlMicros());
     }
@@ -125,9 +143,9 @@
 
     /** The same, negative where reservations wait for room that is still in use. */
     public Room balance(Machine machine, Job job) {
-        Room free = machine.size.minus(machine.used());
-        for (Reservation reservation : live.values()) {
-            if (reservation.machine == machine && reservation.owner != job) {
+        Room free = machine.room();
+        for (Reservation reservation : on(machine)) {
+            if (reservation.owner != job) {
                 free = free.minus(reservation.remaining());
             }
         }
@@ -140,9 +158,8 @@
      */
     public Reservation match(Job job, Machine machine) {
         Reservation best = null;
-        for (Reservation reservation : live.values()) {
-            if (reservation.machine != machine || reservation.owner != job
-                    || reservation.phase() != Phase.AVAILABLE) {
+        for (Reservation reservation : on(machine)) {
+            if (reservation.owner != job || reservation.phase() != Phase.AVAILABLE) {
                 continue;
             }
             if (best == null || (best.allocateOnce || reservation.allocateOnce)
@@ -187,13 +204,8 @@
     }
 
     public List<Reservation> of(Job job) {
-        List<Reservation> result = new ArrayList<>();
-        for (Reservation reservation : live.values()) {
-            if (reservation.owner == job) {
-                result.add(reservation);
-            }
-        }
-        return result;
+        List<Reservation> owned = byOwner.get(job);
+        return owned == null ? List.of() : List.copyOf(owned);
     }
 
     /**
@@ -202,25 +214,24 @@
      */
     public int coming(Job job) {
         int count = 0;
-        for (Reservation reservation : live.values()) {
-            if (reservation.owner == job
-                    && (reservation.phase() == Phase.AVAILABLE || !job.description.gang())) {
+        for (Reservation reservation : byOwner.getOrDefault(job, List.of())) {
+            if (reservation.phase() == Phase.AVAILABLE || !job.description.gang()) {
                 count++;
             }
         }
         return count;
     }
 
+    /** How many tasks of the job have room held, or being made, for them. */
+    public int heldFor(Job job) {
+        return byOwner.getOrDefault(job, List.of()).size();
+    }
+
     public int size() {
         return live.size();
     }
 
     public boolean holdsAny(Machine machine) {
-        for (Reservation reservation : live.values()) {
-            if (reservation.machine == machine) {
-                return true;
-            }
-        }
-        return false;
+        return byMachine.containsKey(machine);
     }
 }
--- a/src/test/java/org/woadloom/core/CoreFixture.java
+++ b/src/test/java/org/woadloom/core/CoreFixture.java
@@ -31,7 +31,7 @@
     public Machine machine(String host, String yard) {
         Machine machine = new Machine(new MachineRecord(host, "m16", yard, false, false), 1, world.nowMicros);
         machine.type = TYPE;
-        machine.size = Room.of(TYPE);
+        machine.resize(Room.of(TYPE));
         machine.recorded = true;
         machine.epochSeen = machine.token();
         machine.tenure = 1;
