--- a/src/main/java/org/woadloom/core/CoreSettings.java
+++ b/src/main/java/org/woadloom/core/CoreSettings.java
@@ -7,11 +7,12 @@
 
 /** What the core is told of the deployment. */
 public record CoreSettings(List<Team> teams, long reportMicros, long leaseMicros, long cancelMicros, int valueBytes,
-        long listLagMicros, OperatorSettings operator) {
+        double writesPerSecond, long listLagMicros, OperatorSettings operator) {
 
     public static CoreSettings of(ServiceSettings settings, OperatorSettings operator) {
         return new CoreSettings(settings.teams(), settings.workers().reportMicros(), settings.workers().leaseMicros(),
-                settings.workers().cancelMicros(), settings.state().valueBytes(), settings.cloud().listLagMicros(),
+                settings.workers().cancelMicros(), settings.state().valueBytes(), settings.state().writeRps(),
+                settings.cloud().listLagMicros(),
                 operator);
     }
 
--- a/src/main/java/org/woadloom/core/jobs/JobTable.java
+++ b/src/main/java/org/woadloom/core/jobs/JobTable.java
@@ -38,7 +38,7 @@
                 }
             }
         }
-        if (job.over()) {
+        if (job.over() && job.placements().isEmpty()) {
             job.recording.needs(Recording.Need.LAUNCH);
         }
     }
@@ -48,7 +48,11 @@
         Job job = world.jobs.get(record.description().uid());
         if (job == null) {
             if (record.term() < world.term && record.placed().isEmpty()) {
-                if (create(record, stamp) != null) {
+                Job created = create(record, stamp);
+                if (created != null) {
+                    if (created.over()) {
+                        created.recording.needs(Recording.Need.LAUNCH);
+                    }
                     world.note("job " + record.description().uid() + " of " + record.description().crew()
                             + " is accepted: " + record.description().shards() + " tasks");
                 }
@@ -110,9 +114,6 @@
         long age = Math.max(0, world.wallMicros - record.submittedWallMicros());
         Job job = new Job(record, stamp, team, world.nowMicros - age);
         world.jobs.put(job.uid(), job);
-        if (job.cancelled) {
-            job.recording.needs(Recording.Need.LAUNCH);
-        }
         return job;
     }
 
@@ -120,7 +121,9 @@
         job.cancelled = true;
         world.note("job " + job.uid() + " cancelled");
         halt(job);
-        job.recording.needs(Recording.Need.LAUNCH);
+        if (job.placements().isEmpty()) {
+            job.recording.needs(Recording.Need.LAUNCH);
+        }
         world.placementWorthTrying = true;
     }
 
--- a/src/main/java/org/woadloom/core/jobs/Recorder.java
+++ b/src/main/java/org/woadloom/core/jobs/Recorder.java
@@ -11,8 +11,15 @@
     private static final long OUTCOME_MICROS = 250_000;
     private static final long RETRY_MICROS = 150_000;
 
+    /** The parts of the state service's limit on changes that launches and outcomes may use before they are gathered. */
+    private static final double LAUNCH_SHARE = 0.35;
+    private static final double OUTCOME_SHARE = 0.25;
+
     private final World world;
     private final JobTable table;
+    /** How many jobs had something of each kind to write when last looked at. */
+    private int launching;
+    private int changing;
 
     public Recorder(World world, JobTable table) {
         this.world = world;
@@ -20,8 +27,15 @@
     }
 
     public void emitWrites() {
+        int launchesNow = 0;
+        int changesNow = 0;
         for (Job job : world.jobs.values()) {
             Recording recording = job.recording;
+            if (recording.need == Recording.Need.LAUNCH) {
+                launchesNow++;
+            } else if (recording.need != Recording.Need.NONE) {
+                changesNow++;
+            }
             if (recording.need == Recording.Need.NONE && !recording.reading || world.nowMicros < recording.retryMicros) {
                 continue;
             }
@@ -33,7 +47,7 @@
                 }
                 continue;
             }
-            if (recording.writing != 0 || !due(recording)) {
+            if (recording.writing != 0 || !due(job)) {
                 continue;
             }
             if (job.over() && job.placements().isEmpty()) {
@@ -47,18 +61,29 @@
                 world.emit(new Effect.PutJob(job.toRecord(world.term, version), recording.stamp, urgent));
             }
         }
+        launching = launchesNow;
+        changing = changesNow;
     }
 
-    private boolean due(Recording recording) {
+    /**
+     * A job's first write goes at once. Where many jobs have something to write, each writes less often and more at a
+     * time: the whole of a record is written for whatever changed in it.
+     */
+    private boolean due(Job job) {
+        Recording recording = job.recording;
         long since = world.nowMicros - recording.lastWriteMicros;
         return switch (recording.need) {
             case NONE -> false;
-            case PHASE -> since >= PHASE_MICROS;
-            case OUTCOME -> since >= OUTCOME_MICROS;
-            case LAUNCH -> true;
+            case PHASE -> since >= Math.max(PHASE_MICROS, spacing(changing, OUTCOME_SHARE));
+            case OUTCOME -> since >= Math.max(OUTCOME_MICROS, spacing(changing, OUTCOME_SHARE));
+            case LAUNCH -> job.over() || since >= spacing(launching, LAUNCH_SHARE);
         };
     }
 
+    private long spacing(int jobs, double share) {
+        return (long) (jobs * 1e6 / (world.settings.writesPerSecond() * share));
+    }
+
     public void written(Command.JobWritten result) {
         Job job = world.jobs.get(result.uid());
         if (job == null) {
--- a/src/main/java/org/woadloom/core/machines/Losses.java
+++ b/src/main/java/org/woadloom/core/machines/Losses.java
@@ -1,6 +1,7 @@
 package org.woadloom.core.machines;
 
 import org.woadloom.core.World;
+import org.woadloom.core.jobs.Job;
 import org.woadloom.core.jobs.Placement;
 import org.woadloom.core.jobs.Recording;
 
@@ -21,13 +22,22 @@
     /** Removes a placement whose end needs no line of its own. */
     public void gone(Placement placement) {
         placement.job.remove(placement);
-        placement.job.recording.needs(placement.job.over() ? Recording.Need.LAUNCH : Recording.Need.OUTCOME);
+        recordOutcome(placement.job);
         if (placement.machine.empty()) {
             placement.machine.idleSinceMicros = world.nowMicros;
         }
         world.placementWorthTrying = true;
     }
 
+    /** A job that is over has one more thing to tell: that nothing of it is left. */
+    private static void recordOutcome(Job job) {
+        if (!job.over()) {
+            job.recording.needs(Recording.Need.OUTCOME);
+        } else if (job.placements().isEmpty()) {
+            job.recording.needs(Recording.Need.LAUNCH);
+        }
+    }
+
     /** Nothing is left on the machine and nothing more will come of what was sent there. */
     public void all(Machine machine, String why) {
         for (Placement placement : machine.snapshot()) {
--- a/src/main/java/org/woadloom/core/placement/Placer.java
+++ b/src/main/java/org/woadloom/core/placement/Placer.java
@@ -15,9 +15,6 @@
 
 /** Decides what runs where: by rank, then work within its team's guarantee, then age. */
 public final class Placer {
-    /** What one task placed by itself adds to a job's record at most. */
-    private static final int RECORD_BYTES_PER_TASK = 60;
-    private static final int RECORD_BYTES_FIXED = 900;
 
     private final World world;
     private final Eligibility eligibility;
@@ -83,14 +80,14 @@
 
     /** Returns true if the machines have no room for another task of the job. */
     private boolean placeJob(Job job, long attempt, List<Machine> open) {
-        int most = (world.settings.valueBytes() - RECORD_BYTES_FIXED) / RECORD_BYTES_PER_TASK;
-        if (job.placements().size() >= most || job.description.gang() && !gangFits(job, most)) {
+        RecordSize size = new RecordSize(job, world.settings.valueBytes());
+        if (!size.takesMore() || job.description.gang() && !gangFits(job, size.mostMore())) {
             return false;
         }
         Candidates candidates = new Candidates(job, open, eligibility, reservations);
         int placed = 0;
         boolean full = false;
-        for (int index = job.nextPending(0); index >= 0 && job.placements().size() < most;
+        for (int index = job.nextPending(0); index >= 0 && size.takesMore();
                 index = job.nextPending(index + 1)) {
             Machine machine = candidates.next();
             if (machine == null) {
@@ -101,6 +98,7 @@
                     world.nowMicros);
             reservations.draw(placement);
             job.add(placement);
+            size.add(machine);
             job.recording.needs(Recording.Need.LAUNCH);
             candidates.placed();
             placed++;
@@ -114,7 +112,7 @@
     /** A gang starts only when all of its tasks that are left find room at once. */
     private boolean gangFits(Job job, int most) {
         int wanted = job.pending();
-        if (job.placements().size() + wanted > most) {
+        if (wanted > most) {
             return false;
         }
         Map<String, Integer> perYard = new LinkedHashMap<>();
--- a/src/main/java/org/woadloom/node/LeaderDuties.java
+++ b/src/main/java/org/woadloom/node/LeaderDuties.java
@@ -30,7 +30,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(LeaderDuties.class);
     private static final long TICK_MICROS = 100_000;
     private static final long RETRY_MICROS = 300_000;
-    private static final long WATCH_MICROS = 10_000_000;
+    /** Short, as an answer that gets lost hides cancellations until the watch is opened again. */
+    private static final long WATCH_MICROS = 4_000_000;
     private static final long MIN_LIST_MICROS = 2_000_000;
 
     /** Takes the answer to a worker's report. */
@@ -82,7 +83,7 @@
         List<ReportAnswer> unanswered = new ArrayList<>(answers.values());
         answers.clear();
         unanswered.forEach(answer -> answer.answer(null));
-        queue.offer(new Command.StepDown());
+        queue.add(new Command.StepDown());
     }
 
     void report(WorkerReport report, ReportAnswer answer) {
@@ -141,7 +142,7 @@
             }
             writer = new RecordWriter(state, settings.state().txnOps(), leaderStamp,
                     () -> again(ofTerm, () -> abdicate.accept("another node took over")));
-            queue.offer(new Command.Lead(ofTerm, jobs, machines));
+            queue.add(new Command.Lead(ofTerm, jobs, machines));
             followJobs(ofTerm, generation);
             tick(ofTerm);
             pollTypes(ofTerm);
@@ -156,7 +157,7 @@
             }
             if (result == Result.OK) {
                 for (StateClient.Event event : events) {
-                    if (event.value() != null) {
+                    if (event.value() != null && !JobRecord.writtenIn(ofTerm, event.value())) {
                         jobSeen(event.path(), event.value(), event.stamp());
                     }
                 }
@@ -188,7 +189,7 @@
 
     private void jobSeen(String path, Map<String, Object> value, long stamp) {
         try {
-            queue.offer(new Command.JobSeen(JobRecord.parse(value), stamp));
+            queue.add(new Command.JobSeen(JobRecord.parse(value), stamp));
         } catch (WireException e) {
             LOG.error("record {} can't be read: {}", path, e.getMessage());
         }
@@ -196,7 +197,7 @@
 
     private void tick(long ofTerm) {
         loop.schedule(TICK_MICROS, () -> again(ofTerm, () -> {
-            queue.offer(new Command.Tick());
+            queue.add(new Command.Tick());
             tick(ofTerm);
         }));
     }
@@ -204,7 +205,7 @@
     private void pollTypes(long ofTerm) {
         cloud.types(types -> again(ofTerm, () -> {
             if (types != null) {
-                queue.offer(new Command.TypesSeen(types));
+                queue.add(new Command.TypesSeen(types));
             }
             loop.schedule(types == null ? 3_000_000 : 60_000_000, () -> again(ofTerm, () -> pollTypes(ofTerm)));
         }));
@@ -213,7 +214,7 @@
     private void pollList(long ofTerm) {
         cloud.list(machines -> again(ofTerm, () -> {
             if (machines != null) {
-                queue.offer(new Command.MachinesListed(machines));
+                queue.add(new Command.MachinesListed(machines));
             }
             long pause = Math.max(MIN_LIST_MICROS, settings.cloud().listLagMicros() / 2);
             loop.schedule(pause, () -> again(ofTerm, () -> pollList(ofTerm)));
@@ -240,7 +241,7 @@
             }
         } else if (effect instanceof Effect.SendDirect send) {
             long ofTerm = term;
-            workers.send(send, result -> again(ofTerm, () -> queue.offer(result)));
+            workers.send(send, result -> again(ofTerm, () -> queue.add(result)));
         } else if (effect instanceof Effect.PutJob put) {
             putJob(put);
         } else if (effect instanceof Effect.FinishJob finish) {
@@ -256,11 +257,11 @@
         } else if (effect instanceof Effect.Rent rent) {
             long ofTerm = term;
             cloud.rent(rent, (outcome, hosts) -> again(ofTerm,
-                    () -> queue.offer(new Command.Rented(rent.claim(), outcome, hosts))));
+                    () -> queue.add(new Command.Rented(rent.claim(), outcome, hosts))));
         } else if (effect instanceof Effect.Delete delete) {
             long ofTerm = term;
             cloud.delete(delete.hosts(), done -> again(ofTerm,
-                    () -> queue.offer(new Command.Deleted(delete.hosts(), done))));
+                    () -> queue.add(new Command.Deleted(delete.hosts(), done))));
         } else if (effect instanceof Effect.Abdicate away) {
             abdicate.accept(away.reason());
         } else if (effect instanceof Effect.Note note) {
@@ -276,7 +277,7 @@
         long ofTerm = term;
         String uid = put.record().description().uid();
         writer.add(put.urgent(), RecordWriter.put(Keys.job(uid), put.record().toMap(), put.stamp(),
-                (outcome, stamp) -> again(ofTerm, () -> queue.offer(
+                (outcome, stamp) -> again(ofTerm, () -> queue.add(
                         new Command.JobWritten(uid, put.record().version(), outcome, stamp)))));
     }
 
@@ -286,7 +287,7 @@
         writer.add(true, new RecordWriter.Write(
                 List.of(new Condition(Keys.job(uid), finish.stamp())),
                 List.of(Change.put(Keys.finalState(uid), finish.record().toMap()), Change.drop(Keys.job(uid))),
-                (outcome, stamp) -> again(ofTerm, () -> queue.offer(
+                (outcome, stamp) -> again(ofTerm, () -> queue.add(
                         new Command.JobWritten(uid, finish.version(), outcome, stamp)))));
     }
 
@@ -296,9 +297,9 @@
             if (result == Result.OK) {
                 jobSeen(entry.path(), entry.value(), entry.stamp());
             } else if (result == Result.NOT_FOUND) {
-                queue.offer(new Command.JobMissing(uid));
+                queue.add(new Command.JobMissing(uid));
             } else {
-                queue.offer(new Command.JobUnreadable(uid));
+                queue.add(new Command.JobUnreadable(uid));
             }
         }));
     }
@@ -307,7 +308,7 @@
         long ofTerm = term;
         String host = put.record().host();
         writer.add(true, RecordWriter.put(Keys.machine(host), put.record().toMap(), put.stamp(),
-                (outcome, stamp) -> again(ofTerm, () -> queue.offer(
+                (outcome, stamp) -> again(ofTerm, () -> queue.add(
                         new Command.MachineWritten(host, put.record().leaving(), false, outcome, stamp)))));
     }
 
@@ -316,7 +317,7 @@
         writer.add(false, new RecordWriter.Write(
                 List.of(new Condition(Keys.machine(drop.host()), drop.stamp())),
                 List.of(Change.drop(Keys.machine(drop.host()))),
-                (outcome, stamp) -> again(ofTerm, () -> queue.offer(
+                (outcome, stamp) -> again(ofTerm, () -> queue.add(
                         new Command.MachineWritten(drop.host(), true, true, outcome, stamp)))));
     }
 
@@ -325,14 +326,14 @@
         state.get(Urgency.NORMAL, Keys.machine(host), (result, entry, generation) -> again(ofTerm, () -> {
             try {
                 if (result == Result.OK) {
-                    queue.offer(new Command.MachineSeen(host, MachineRecord.parse(host, entry.value()), entry.stamp()));
+                    queue.add(new Command.MachineSeen(host, MachineRecord.parse(host, entry.value()), entry.stamp()));
                 } else if (result == Result.NOT_FOUND) {
-                    queue.offer(new Command.MachineSeen(host, null, 0));
+                    queue.add(new Command.MachineSeen(host, null, 0));
                 } else {
-                    queue.offer(new Command.MachineUnreadable(host));
+                    queue.add(new Command.MachineUnreadable(host));
                 }
             } catch (WireException e) {
-                queue.offer(new Command.MachineUnreadable(host));
+                queue.add(new Command.MachineUnreadable(host));
             }
         }));
     }
--- a/src/main/java/org/woadloom/node/Mailbox.java
+++ b/src/main/java/org/woadloom/node/Mailbox.java
@@ -1,6 +1,8 @@
 package org.woadloom.node;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -22,7 +24,9 @@
 
 /**
  * Carries reports to the leader through the state service, where this node can't reach the leader: otherwise every lease
- * in a zone that is cut off from it would end. The answers need no conditions, as a worker refuses an old token.
+ * in a zone that is cut off from it would end. Reports go many at a time in one of a few letters; the leader writes the
+ * answers in the place of the letter, so that each costs two changes and nothing is left to clear away. The answers need
+ * no conditions, as a worker refuses an old token.
  */
 final class Mailbox {
     private static final Logger LOG = LoggerFactory.getLogger(Mailbox.class);
@@ -30,7 +34,11 @@
     private static final long WAIT_MICROS = 3_500_000;
     private static final long WATCH_MICROS = 10_000_000;
     private static final long RETRY_MICROS = 300_000;
-    private static final int MAX_BYTES = 56 * 1024;
+    /** A letter that lay here for longer, by clocks that are apart a little, is of the past: nobody waits for its answers. */
+    private static final long STALE_MICROS = 10_000_000;
+    private static final int SLOTS = 8;
+    /** What is around the reports in a letter. */
+    private static final int LETTER_BYTES = 200;
 
     /** Decides a report; only the leader has one. */
     interface Decider {
@@ -40,110 +48,138 @@
     private final Loop loop;
     private final StateClient state;
     private final String label;
-    private final int txnOps;
     private final int valueBytes;
-    private final List<Change> outgoing = new ArrayList<>();
-    private final Map<String, Waiting> waiting = new HashMap<>();
+    private final ArrayDeque<Parcel> outgoing = new ArrayDeque<>();
+    /** Reports that wait for an answer, by machine. */
+    private final Map<String, Parcel> waiting = new HashMap<>();
+    /** The letter that is under way in each slot, 0 for none. */
+    private final long[] letters = new long[SLOTS];
     private boolean flushScheduled;
     private boolean watching;
     private long leading;
     private long ids;
 
-    private record Waiting(long id, Consumer<Response> answer) {
+    /** One report on its way. */
+    private record Parcel(long id, String host, Object report, int size, Consumer<Response> answer) {
     }
 
     Mailbox(Loop loop, StateClient state, ServiceSettings settings) {
         this.loop = loop;
         this.state = state;
         this.label = settings.label();
-        this.txnOps = settings.state().txnOps();
         this.valueBytes = settings.state().valueBytes();
     }
 
     /** Sends a worker's report; the answer is 503 if none comes while the worker waits. */
     void carry(String host, byte[] report, Consumer<Response> answer) {
-        Map<String, Object> value = new LinkedHashMap<>();
-        // A restarted node must not take an answer to its former self for one to a report of its own.
-        long id = loop.wallMicros() * 16 + ++ids % 16;
-        value.put("from", label);
-        value.put("id", id);
+        Map<String, Object> map;
         try {
-            value.put("report", Cbor.decodeMap(report));
+            map = Cbor.decodeMap(report);
         } catch (WireException e) {
             answer.accept(Response.error(400, e.getMessage()));
             return;
         }
-        if (Cbor.jsonSize(value) > valueBytes) {
+        Parcel parcel = new Parcel(newId(), host, map, Cbor.jsonSize(map) + 40, answer);
+        if (parcel.size + LETTER_BYTES > valueBytes) {
             answer.accept(Response.unavailable("the report is too long for the state service"));
             return;
         }
-        Waiting mine = new Waiting(id, answer);
-        Waiting before = waiting.put(host, mine);
+        Parcel before = waiting.put(host, parcel);
         if (before != null) {
+            outgoing.remove(before);
             before.answer.accept(Response.unavailable("a newer report was sent"));
         }
         loop.schedule(WAIT_MICROS, () -> {
-            if (waiting.remove(host, mine)) {
+            if (waiting.remove(host, parcel)) {
+                outgoing.remove(parcel);
                 answer.accept(Response.unavailable("the leader does not answer"));
             }
         });
         watchAnswers();
-        write(Change.put(Keys.mail(host), value));
+        outgoing.addLast(parcel);
+        flushSoon();
+    }
+
+    /** By the time of day, so that a restarted node takes no answer to its former self for its own. */
+    private long newId() {
+        return loop.wallMicros() * 16 + ++ids % 16;
     }
 
-    private void write(Change change) {
-        outgoing.add(change);
+    private void flushSoon() {
         if (!flushScheduled) {
             flushScheduled = true;
             loop.schedule(BATCH_MICROS, this::flush);
         }
     }
 
+    /** Fills the free slots; what finds none waits for the next, and the letters get fuller. */
     private void flush() {
         flushScheduled = false;
-        List<Change> batch = new ArrayList<>();
-        int bytes = 0;
-        for (Change change : outgoing) {
-            int size = 260 + Cbor.jsonSize(change.value());
-            if (batch.size() == txnOps || !batch.isEmpty() && bytes + size > MAX_BYTES) {
-                send(batch);
-                batch = new ArrayList<>();
-                bytes = 0;
+        for (int slot = 0; slot < SLOTS && !outgoing.isEmpty(); slot++) {
+            if (letters[slot] == 0) {
+                send(slot);
             }
-            batch.add(change);
-            bytes += size;
         }
-        outgoing.clear();
-        send(batch);
+        if (!outgoing.isEmpty()) {
+            flushSoon();
+        }
     }
 
-    private void send(List<Change> batch) {
-        state.txn(Urgency.URGENT, List.of(), batch, (result, generation, failed) -> {
-            if (result != Result.OK) {
-                LOG.debug("{} letters were not written: {}", batch.size(), result);
-            }
-        });
+    private void send(int slot) {
+        long id = newId();
+        List<Object> reports = new ArrayList<>();
+        int size = LETTER_BYTES;
+        // Answers with launches may be longer than the reports, and must fit in the same place.
+        while (!outgoing.isEmpty() && (reports.isEmpty() || size + outgoing.peekFirst().size <= valueBytes / 2)) {
+            Parcel parcel = outgoing.pollFirst();
+            size += parcel.size;
+            reports.add(Arrays.asList(parcel.id, parcel.report));
+        }
+        Map<String, Object> value = new LinkedHashMap<>();
+        value.put("id", id);
+        value.put("at", loop.wallMicros());
+        value.put("reports", reports);
+        letters[slot] = id;
+        state.txn(Urgency.URGENT, List.of(), List.of(Change.put(Keys.mail(label, slot), value)),
+                (result, generation, failed) -> {
+                    if (result != Result.OK) {
+                        LOG.debug("a letter with {} reports was not written: {}", reports.size(), result);
+                        free(slot, id);
+                    }
+                });
+        loop.schedule(WAIT_MICROS, () -> free(slot, id));
     }
 
-    // The side that carries.
+    private void free(int slot, long id) {
+        if (letters[slot] == id) {
+            letters[slot] = 0;
+        }
+    }
 
     private void watchAnswers() {
         if (!watching) {
             watching = true;
             // The first revision of all: what is there already is read as well, and ignored by its id.
-            state.list(Urgency.URGENT, Keys.answers(label), (result, entries, generation) -> {
+            state.list(Urgency.URGENT, Keys.mailOf(label), (result, entries, generation) -> {
                 entries.forEach(entry -> answered(entry.path(), entry.value()));
                 if (result == Result.OK) {
                     followAnswers(generation);
                 } else {
-                    watching = false;
+                    watchAgain();
                 }
             });
         }
     }
 
+    private void watchAgain() {
+        watching = false;
+        if (!waiting.isEmpty()) {
+            loop.schedule(RETRY_MICROS, this::watchAnswers);
+        }
+    }
+
     private void followAnswers(long since) {
-        state.follow(Keys.answers(label), since, WATCH_MICROS, (result, events, generation) -> {
+        state.follow(Keys.mailOf(label), since, WATCH_MICROS, (result, events, generation) -> {
             for (StateClient.Event event : events) {
                 if (event.value() != null) {
                     answered(event.path(), event.value());
@@ -152,26 +188,30 @@
             if (result == Result.OK && (!waiting.isEmpty() || !events.isEmpty())) {
                 followAnswers(Math.max(since, generation));
             } else {
-                watching = false;
-                if (!waiting.isEmpty()) {
-                    loop.schedule(RETRY_MICROS, this::watchAnswers);
-                }
+                watchAgain();
             }
         });
     }
 
     private void answered(String path, Map<String, Object> value) {
-        String host = path.substring(Keys.answers(label).length());
-        Waiting mine = waiting.get(host);
+        if (!value.containsKey("answers")) {
+            return;
+        }
         try {
             Fields f = new Fields(value);
-            if (mine != null && mine.id == f.integer("id")) {
-                waiting.remove(host);
-                mine.answer.accept(Response.cbor((int) f.integer("status"), Cbor.encode(f.raw("body"))));
-                state.txn(Urgency.BACKGROUND, List.of(), List.of(Change.drop(path)), (result, generation, failed) -> {
-                });
+            free((int) Long.parseLong(path.substring(Keys.mailOf(label).length())), f.integer("id"));
+            for (Object item : f.list("answers")) {
+                if (!(item instanceof List<?> parts) || parts.size() != 4 || !(parts.get(0) instanceof Long id)
+                        || !(parts.get(1) instanceof String host) || !(parts.get(2) instanceof Long status)) {
+                    throw new WireException("answers: expected id, machine, status and body");
+                }
+                Parcel mine = waiting.get(host);
+                if (mine != null && mine.id == id) {
+                    waiting.remove(host);
+                    mine.answer.accept(Response.cbor(status.intValue(), Cbor.encode(parts.get(3))));
+                }
             }
-        } catch (WireException e) {
+        } catch (WireException | NumberFormatException e) {
             LOG.error("answer {} can't be read: {}", path, e.getMessage());
         }
     }
@@ -221,25 +261,61 @@
     }
 
     private void letter(String path, Map<String, Object> value, Decider decider) {
-        String host = path.substring(Keys.MAIL.length());
+        if (!value.containsKey("reports")) {
+            return;
+        }
         try {
             Fields f = new Fields(value);
-            String from = f.text("from");
             long id = f.integer("id");
-            decider.decide(Cbor.encode(f.raw("report")), response -> {
-                Map<String, Object> answer = new LinkedHashMap<>();
-                answer.put("id", id);
-                answer.put("status", (long) response.status());
-                try {
-                    answer.put("body", Cbor.decodeMap(response.body()));
-                } catch (WireException e) {
-                    throw new IllegalStateException(e);
+            List<?> reports = f.list("reports");
+            if (Math.abs(loop.wallMicros() - f.integer("at")) > STALE_MICROS || reports.isEmpty()) {
+                return;
+            }
+            List<Object> answers = new ArrayList<>();
+            int[] missing = {reports.size()};
+            for (Object item : reports) {
+                if (!(item instanceof List<?> parts) || parts.size() != 2 || !(parts.get(0) instanceof Long reportId)) {
+                    throw new WireException("reports: expected id and report");
                 }
-                write(Change.put(Keys.answers(from) + host, answer));
-                write(Change.drop(path));
-            });
+                String host = Fields.of(parts.get(1), "report").text("host");
+                decider.decide(Cbor.encode(parts.get(1)), response -> {
+                    answers.add(Arrays.asList(reportId, host, (long) response.status(), body(response)));
+                    if (--missing[0] == 0) {
+                        reply(path, id, answers);
+                    }
+                });
+            }
         } catch (WireException e) {
             LOG.error("letter {} can't be read: {}", path, e.getMessage());
         }
     }
+
+    private static Object body(Response response) {
+        try {
+            return Cbor.decodeMap(response.body());
+        } catch (WireException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Answers that don't fit are left out: their workers report again. */
+    private void reply(String path, long id, List<Object> all) {
+        List<Object> answers = new ArrayList<>();
+        int size = LETTER_BYTES;
+        for (Object answer : all) {
+            size += Cbor.jsonSize(answer) + 1;
+            if (size > valueBytes) {
+                break;
+            }
+            answers.add(answer);
+        }
+        Map<String, Object> value = new LinkedHashMap<>();
+        value.put("id", id);
+        value.put("answers", answers);
+        state.txn(Urgency.URGENT, List.of(), List.of(Change.put(path, value)), (result, generation, failed) -> {
+            if (result != Result.OK) {
+                LOG.debug("{} answers were not written: {}", answers.size(), result);
+            }
+        });
+    }
 }
--- a/src/main/java/org/woadloom/node/Node.java
+++ b/src/main/java/org/woadloom/node/Node.java
@@ -46,6 +46,7 @@
     private static final long LOADING_MICROS = 1_000_000;
     private static final long LOADING_POLL_MICROS = 20_000;
     private static final long RETURN_MICROS = 12_000_000;
+    private static final int MOST_REPORTS_WAITING = 2_000;
 
     private final Loop loop;
     private final ServiceSettings settings;
@@ -71,18 +72,20 @@
         cloud = new CloudClient(loop, transport, settings);
         duties = new LeaderDuties(loop, state, cloud, new WorkerClient(transport), settings, this::abdicate);
         Core core = new Core(CoreSettings.of(settings, operator));
-        queue = new CommandQueue(loop, core, metrics, duties::execute);
+        queue = new CommandQueue(loop, core, metrics, MOST_REPORTS_WAITING, duties::execute);
         duties.attach(queue);
         mailbox = new Mailbox(loop, state, settings);
         election = new Election(loop, state, settings.label(), random, new Election.Listener() {
             @Override
             public void elected(long term, long leaderStamp) {
+                state.lead(true);
                 duties.begin(term, leaderStamp);
                 mailbox.lead(term, Node.this::decide);
             }
 
             @Override
             public void deposed(String reason) {
+                state.lead(false);
                 mailbox.end();
                 duties.end();
             }
@@ -135,7 +138,7 @@
 
     private void tellCore(JobRecord record, long stamp) {
         if (duties.ready()) {
-            queue.offer(new Command.JobSeen(record, stamp));
+            queue.add(new Command.JobSeen(record, stamp));
         }
     }
 
@@ -162,7 +165,7 @@
 
     private void typesSeen(List<MachineType> found) {
         types = List.copyOf(found);
-        queue.offer(new Command.TypesSeen(types));
+        queue.add(new Command.TypesSeen(types));
     }
 
     private void storeTypes(List<MachineType> found) {
--- a/src/main/java/org/woadloom/state/Budget.java
+++ b/src/main/java/org/woadloom/state/Budget.java
@@ -2,8 +2,8 @@
 
 /** A token bucket that holds one second's worth, as the services' own limits do. */
 public final class Budget {
-    private final double perMicro;
-    private final double capacity;
+    private double perMicro;
+    private double capacity;
     private double tokens;
     private long lastMicros = Long.MIN_VALUE;
 
@@ -13,6 +13,14 @@
         this.tokens = capacity;
     }
 
+    /** Changes the rate from now on; what has gathered stays, up to one second's worth. */
+    public void rate(long now, double perSecond) {
+        refill(now);
+        perMicro = perSecond / 1e6;
+        capacity = Math.max(1, perSecond);
+        tokens = Math.min(tokens, capacity);
+    }
+
     private void refill(long now) {
         if (lastMicros != Long.MIN_VALUE && now > lastMicros) {
             tokens = Math.min(capacity, tokens + (now - lastMicros) * perMicro);
--- a/src/main/java/org/woadloom/state/JobRecord.java
+++ b/src/main/java/org/woadloom/state/JobRecord.java
@@ -63,6 +63,11 @@
         return map;
     }
 
+    /** True for a record as the leader of the term wrote it: it needs no telling. A user's cancellation keeps the term. */
+    public static boolean writtenIn(long term, Map<String, Object> map) {
+        return map.get("term") instanceof Long written && written == term && !map.containsKey("cancelled");
+    }
+
     @SuppressWarnings("unchecked")
     public static JobRecord parse(Map<String, Object> map) throws WireException {
         Fields f = new Fields(map);
--- a/src/main/java/org/woadloom/state/Keys.java
+++ b/src/main/java/org/woadloom/state/Keys.java
@@ -12,7 +12,7 @@
     public static final String FINALS = "final/";
     public static final String MACHINES = "machine/";
 
-    /** Reports on their way to a leader that their node can't reach. */
+    /** Reports on their way to a leader that their node can't reach, and the answers to them. */
     public static final String MAIL = "mail/";
 
     private Keys() {
@@ -26,13 +26,13 @@
         return FINALS + uid;
     }
 
-    public static String mail(String host) {
-        return MAIL + host;
+    /** The letters of one node. */
+    public static String mailOf(String label) {
+        return MAIL + label + "/";
     }
 
-    /** The prefix of the answers to what a node sent by mail. */
-    public static String answers(String label) {
-        return "answer/" + label + "/";
+    public static String mail(String label, int slot) {
+        return mailOf(label) + slot;
     }
 
     public static String machine(String host) {
--- a/src/main/java/org/woadloom/state/StateClient.java
+++ b/src/main/java/org/woadloom/state/StateClient.java
@@ -85,13 +85,19 @@
     private static final int MAX_IN_FLIGHT = 12;
     private static final int MAX_QUEUED = 2_000;
     private static final long TIMEOUT_MICROS = 2_000_000;
-    // Three nodes share the service's limits, and most of the work is the leader's.
-    private static final double SHARE_OF_LIMIT = 0.6;
+    private static final long WATCH_GRACE_MICROS = 2_000_000;
+    // All nodes share the service's limits. The leader writes most; reads are for users, whom every node serves.
+    private static final double LEADER_WRITES = 0.75;
+    private static final double OTHERS_WRITES = 0.3;
+    private static final double LEADER_REQUESTS = 0.5;
+    private static final double OTHERS_REQUESTS = 0.6;
 
     private final Loop loop;
     private final HttpTransport transport;
     private final Random random;
     private final String address;
+    private final ServiceSettings.State limits;
+    private final int others;
     private final Budget requests;
     private final Budget writes;
     private final EnumMap<Urgency, ArrayDeque<Pending>> queues = new EnumMap<>(Urgency.class);
@@ -109,13 +115,23 @@
         this.transport = transport;
         this.random = random;
         this.address = settings.stateAddress();
-        this.requests = new Budget(settings.state().rps() * SHARE_OF_LIMIT);
-        this.writes = new Budget(settings.state().writeRps() * SHARE_OF_LIMIT);
+        this.limits = settings.state();
+        this.others = Math.max(1, settings.peers().size());
+        this.requests = new Budget(1);
+        this.writes = new Budget(1);
+        lead(false);
         for (Urgency urgency : Urgency.values()) {
             queues.put(urgency, new ArrayDeque<>());
         }
     }
 
+    /** Sets this node's part of the service's limits: what one node leaves is there for the others. */
+    public void lead(boolean leads) {
+        long now = loop.nowMicros();
+        requests.rate(now, limits.rps() * (leads ? LEADER_REQUESTS : OTHERS_REQUESTS / others));
+        writes.rate(now, limits.writeRps() * (leads ? LEADER_WRITES : OTHERS_WRITES / others));
+    }
+
     /** Answers of the kind 429 or 503, or none at all, counted for the metrics. */
     public long troubles() {
         return troubles;
@@ -215,8 +231,7 @@
     /** Waits for changes under the prefix after the given generation. Open watches bypass the queue's concurrency. */
     public void follow(String prefix, long since, long blockMicros, FollowCallback callback) {
         String path = "/follow?prefix=" + prefix + "&since=" + since + "&blockMs=" + blockMicros / 1000;
-        // An outage keeps a watch open for longer than it asked for, so the timeout is generous.
-        transport.request(address, "GET", path, null, blockMicros + 5_000_000, (status, body) -> {
+        transport.request(address, "GET", path, null, blockMicros + WATCH_GRACE_MICROS, (status, body) -> {
             answered(status);
             if (status == 200) {
                 parsed(body, map -> {
--- a/src/test/java/org/woadloom/core/CoreFixture.java
+++ b/src/test/java/org/woadloom/core/CoreFixture.java
@@ -22,7 +22,7 @@
             List.of("a", "b"));
 
     public final World world = new World(new CoreSettings(List.of(new Team("team", 16, 24, 0, 0)), 1_500_000,
-            10_000_000, 30_000_000, 8192, 3_000_000, OperatorSettings.defaults()), 1, 1_000_000, 0);
+            10_000_000, 30_000_000, 8192, 100, 3_000_000, OperatorSettings.defaults()), 1, 1_000_000, 0);
 
     public CoreFixture() {
         world.types.put(TYPE.name(), TYPE);
