--- a/src/main/java/org/woadloom/node/CommandQueue.java
+++ b/src/main/java/org/woadloom/node/CommandQueue.java
@@ -28,7 +28,7 @@
     private final ManyToOneConcurrentLinkedQueue<Command> queue = new ManyToOneConcurrentLinkedQueue<>();
     private final AtomicInteger repeatable = new AtomicInteger();
     private final AtomicBoolean scheduled = new AtomicBoolean();
-    private volatile long notBeforeMicros = Long.MIN_VALUE;
+    private volatile long notBeforeMicros = Long.MIN_VALUE / 2;
 
     /** Carries out what the core wants done. */
     public interface Executor {
