--- a/src/main/java/org/woadloom/core/Core.java
+++ b/src/main/java/org/woadloom/core/Core.java
@@ -18,6 +18,7 @@
 import org.woadloom.core.reservation.Gathering;
 import org.woadloom.core.reservation.Reservation;
 import org.woadloom.core.reservation.Reservations;
+import org.woadloom.core.teams.Guarantees;
 import org.woadloom.wire.MachineType;
 
 /**
@@ -44,6 +45,7 @@
         final Directs directs;
         final Reservations reservations;
         final Gathering gathering;
+        final Guarantees guarantees;
         final Placer placer;
         final Preemption preemption;
         final Capacity capacity;
@@ -61,6 +63,7 @@
             Eligibility eligibility = new Eligibility(world);
             reservations = new Reservations(world);
             gathering = new Gathering(world, eligibility, reservations);
+            guarantees = new Guarantees(world);
             placer = new Placer(world, eligibility, reservations);
             preemption = new Preemption(world, eligibility, reservations, gathering);
             capacity = new Capacity(world, eligibility, placer, machines, reservations);
@@ -170,6 +173,7 @@
         if (world.placementWorthTrying || world.nowMicros >= l.searchMicros) {
             world.placementWorthTrying = false;
             l.searchMicros = world.nowMicros + SEARCH_MICROS;
+            l.guarantees.update();
             List<Reservation> failed = l.reservations.sync();
             l.placer.place();
             List<Job> queue = l.placer.queue();
--- a/src/main/java/org/woadloom/core/capacity/Capacity.java
+++ b/src/main/java/org/woadloom/core/capacity/Capacity.java
@@ -89,7 +89,7 @@
             return;
         }
         reviewedMicros = world.nowMicros;
-        if (world.nowMicros - world.startedMicros > 4 * world.settings.reportMicros()) {
+        if (world.nowMicros - world.startedMicros > 2 * world.settings.reportMicros()) {
             rent();
         }
         giveBack();
@@ -98,8 +98,10 @@
     private void rent() {
         List<Supply> supply = new ArrayList<>();
         for (Machine machine : world.machines.values()) {
-            if (!machine.heard() && !machine.leaving && !machine.deleted && machine.type != null) {
-                supply.add(new Supply(new Kind(machine.type, machine.yard, machine.reclaimable), machine.size()));
+            // A machine that boots, or whose worker has not yet acknowledged this leader.
+            if (!machine.leaving && !machine.deleted && machine.type != null && machine.takenMicros < 0
+                    && (!machine.heard() || !machine.recorded || !machine.acknowledged())) {
+                supply.add(new Supply(new Kind(machine.type, machine.yard, machine.reclaimable), machine.free()));
             }
         }
         for (Claim claim : claims.values()) {
@@ -110,21 +112,28 @@
         Map<Kind, Integer> wanted = new LinkedHashMap<>();
         for (Job job : placer.queue()) {
             int tasks = Math.min(job.pending() - reservations.coming(job), job.team.allowed(job.room));
+            Map<String, Integer> spread = new LinkedHashMap<>();
             for (Supply s : supply) {
-                while (tasks > 0 && s.free.holds(job.room) && usable(job, s.kind)) {
-                    s.free = s.free.minus(job.room);
-                    tasks--;
+                if (tasks <= 0) {
+                    break;
+                }
+                if (s.free.holds(job.room) && usable(job, s.kind)) {
+                    int fits = Math.min(Math.min(tasks, s.free.count(job.room)), yardLeft(job, s.kind.yard, spread));
+                    s.free = s.free.minus(job.room.times(fits));
+                    spread.merge(s.kind.yard, fits, Integer::sum);
+                    tasks -= fits;
                 }
             }
             while (tasks > 0) {
-                Kind kind = cheapest(job, tasks);
+                Kind kind = cheapest(job, tasks, spread);
                 if (kind == null) {
                     break;
                 }
                 Room room = Room.of(kind.type);
                 wanted.merge(kind, 1, Integer::sum);
-                int fits = Math.min(tasks, room.count(job.room));
+                int fits = Math.min(Math.min(tasks, room.count(job.room)), yardLeft(job, kind.yard, spread));
                 supply.add(new Supply(kind, room.minus(job.room.times(fits))));
+                spread.merge(kind.yard, fits, Integer::sum);
                 tasks -= fits;
             }
         }
@@ -147,15 +156,23 @@
                 && eligibility.allowsYard(job, kind.yard);
     }
 
+    /** How many more tasks of the job may go to the zone, with what this review has given it there. */
+    private static int yardLeft(Job job, String yard, Map<String, Integer> spread) {
+        if (!job.description.apart()) {
+            return Integer.MAX_VALUE;
+        }
+        return (job.description.shards() + 1) / 2 - job.placedIn(yard) - spread.getOrDefault(yard, 0);
+    }
+
     /** The kind with the lowest price for this many tasks. */
-    private Kind cheapest(Job job, int tasks) {
+    private Kind cheapest(Job job, int tasks, Map<String, Integer> spread) {
         Kind best = null;
         double bestPrice = 0;
         for (MachineType type : world.types.values()) {
             for (String yard : type.yards()) {
                 for (boolean reclaimable : new boolean[] {true, false}) {
                     Kind kind = new Kind(type, yard, reclaimable);
-                    int fits = Room.of(type).count(job.room);
+                    int fits = Math.min(Room.of(type).count(job.room), yardLeft(job, yard, spread));
                     if (fits < 1 || !usable(job, kind)
                             || notBefore.getOrDefault(kind, Long.MIN_VALUE) > world.nowMicros) {
                         continue;
--- a/src/main/java/org/woadloom/core/jobs/Job.java
+++ b/src/main/java/org/woadloom/core/jobs/Job.java
@@ -32,6 +32,8 @@
     public boolean cancelled;
     /** The final state is in the store, and the job is no longer among those of the core. */
     public boolean finished;
+    /** Fits into the team's guarantee together with the team's earlier jobs. */
+    public boolean guaranteed;
     public int failures;
     public long notBeforeMicros;
     /** Machines on which tasks of the job ended with an error. */
--- a/src/main/java/org/woadloom/core/placement/Placer.java
+++ b/src/main/java/org/woadloom/core/placement/Placer.java
@@ -16,6 +16,10 @@
 /** Decides what runs where: by rank, then work within its team's guarantee, then age. */
 public final class Placer {
 
+    private static final Comparator<Job> ORDER = Comparator.comparing((Job job) -> job.description.rank()).reversed()
+            .thenComparing(job -> !job.guaranteed).thenComparingLong(job -> job.submittedMicros)
+            .thenComparing(Job::uid);
+
     private final World world;
     private final Eligibility eligibility;
     private final Reservations reservations;
@@ -28,21 +32,13 @@
 
     /** Jobs with pending tasks that may be placed now, in the order in which they are served. */
     public List<Job> queue() {
-        record Entry(Job job, boolean within) {
-        }
-        List<Entry> entries = new ArrayList<>();
+        List<Job> jobs = new ArrayList<>();
         for (Job job : world.jobs.values()) {
             if (job.pending() > 0 && job.notBeforeMicros <= world.nowMicros) {
-                entries.add(new Entry(job, job.team.withinGuarantee(job.room)));
+                jobs.add(job);
             }
         }
-        entries.sort(Comparator.comparing((Entry e) -> e.job.description.rank()).reversed()
-                .thenComparing(e -> !e.within).thenComparingLong(e -> e.job.submittedMicros)
-                .thenComparing(e -> e.job.uid()));
-        List<Job> jobs = new ArrayList<>(entries.size());
-        for (Entry entry : entries) {
-            jobs.add(entry.job);
-        }
+        jobs.sort(ORDER);
         return jobs;
     }
 
--- a/src/main/java/org/woadloom/core/placement/Preemption.java
+++ b/src/main/java/org/woadloom/core/placement/Preemption.java
@@ -57,7 +57,8 @@
             if (wanted <= 0) {
                 continue;
             }
-            boolean fromBorrowers = job.team.withinGuarantee(job.room) && othersBorrow(job.team);
+            boolean fromBorrowers = job.guaranteed && job.team.withinGuarantee(job.room)
+                    && othersBorrow(job.team);
             if (hopeless.stream().noneMatch(known -> known.covers(job, fromBorrowers))) {
                 wanted = free(job, wanted, fromBorrowers);
                 if (wanted > 0 && Shape.plain(job)) {
@@ -181,7 +182,7 @@
         }
         // The lowest rank first, then borrowers, then what can save, then what has run least.
         victims.sort(Comparator.comparing((Placement p) -> p.job.description.rank())
-                .thenComparing(p -> !p.job.team.beyondGuarantee())
+                .thenComparing(p -> p.job.guaranteed)
                 .thenComparing(p -> p.job.description.snapshotEveryS() == 0)
                 .thenComparingLong(p -> -p.placedMicros));
         List<Placement> chosen = new ArrayList<>();
@@ -217,6 +218,7 @@
         if (other.description.rank().compareTo(job.description.rank()) < 0) {
             return true;
         }
-        return other.team != job.team && other.team.beyondGuarantee() && job.team.withinGuarantee(job.room);
+        return other.team != job.team && !other.guaranteed && other.team.beyondGuarantee() && job.guaranteed
+                && job.team.withinGuarantee(job.room);
     }
 }
--- /dev/null
+++ b/src/main/java/org/woadloom/core/teams/Guarantees.java
@@ -0,0 +1,43 @@
+package org.woadloom.core.teams;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.woadloom.core.World;
+import org.woadloom.core.jobs.Job;
+import org.woadloom.core.placement.Room;
+
+/**
+ * Which jobs are within their team's guarantee: those that fit into it together with the team's earlier jobs that are not
+ * finished. It is a property of the whole job, so that two teams whose use is near their guarantees don't stop each
+ * other's tasks in turn.
+ */
+public final class Guarantees {
+    private static final Comparator<Job> BY_AGE = Comparator.comparingLong((Job job) -> job.submittedMicros)
+            .thenComparing(Job::uid);
+
+    private final World world;
+
+    public Guarantees(World world) {
+        this.world = world;
+    }
+
+    public void update() {
+        List<Job> jobs = new ArrayList<>(world.jobs.size());
+        for (Job job : world.jobs.values()) {
+            if (!job.over()) {
+                jobs.add(job);
+            }
+        }
+        jobs.sort(BY_AGE);
+        Map<TeamUse, Room> sums = new HashMap<>();
+        for (Job job : jobs) {
+            Room sum = sums.getOrDefault(job.team, Room.NONE)
+                    .plus(job.room.times(job.description.shards() - job.done.cardinality()));
+            sums.put(job.team, sum);
+            job.guaranteed = job.team.guarantees(sum);
+        }
+    }
+}
--- a/src/main/java/org/woadloom/core/teams/TeamUse.java
+++ b/src/main/java/org/woadloom/core/teams/TeamUse.java
@@ -38,6 +38,11 @@
         return limit.minus(used).plus(credit).floor().count(task);
     }
 
+    /** True if so much is within the guarantee. */
+    public boolean guarantees(Room all) {
+        return guarantee.holds(all);
+    }
+
     public boolean withinGuarantee(Room more) {
         return guarantee.holds(used.plus(more));
     }
