--- a/src/main/java/org/woadloom/leader/Election.java
+++ b/src/main/java/org/woadloom/leader/Election.java
@@ -48,6 +48,8 @@
     private LeaderKey current;
     private long currentStamp;
     private int campaign;
+    /** The highest term ever heard of: a peer may still speak of a leader that is gone. */
+    private long highestTerm;
 
     public Election(Loop loop, StateClient state, String label, Random random, Listener listener) {
         this.loop = loop;
@@ -75,6 +77,20 @@
         return current == null ? 0 : current.term();
     }
 
+    /**
+     * A peer knows of a leader in a later term. That may be all this node learns while the state service refuses it alone;
+     * to lead on would keep workers from the new leader. The stamp stays as it was, so a campaign on it can only fail.
+     */
+    public void heardOf(String leader, long ofTerm) {
+        if (ofTerm <= highestTerm || leader.equals(label)) {
+            return;
+        }
+        highestTerm = ofTerm;
+        LOG.info("a peer says that {} leads in term {}", leader, ofTerm);
+        current = new LeaderKey(leader, ofTerm);
+        stepDown(leader + " leads in term " + ofTerm);
+    }
+
     private void look() {
         state.get(Urgency.URGENT, Keys.LEADER, (result, entry, generation) -> {
             if (result == Result.OK) {
@@ -115,6 +131,7 @@
         } catch (WireException e) {
             current = null;
         }
+        highestTerm = Math.max(highestTerm, knownTerm());
         if (current != null && !current.equals(before)) {
             LOG.info("leader is {} in term {}", current.label(), current.term());
         }
@@ -206,6 +223,7 @@
     private void won(long newTerm, long stamp) {
         role = Role.LEADER;
         term = newTerm;
+        highestTerm = Math.max(highestTerm, newTerm);
         current = new LeaderKey(label, newTerm);
         currentStamp = stamp;
         LOG.info("elected in term {}", newTerm);
--- a/src/main/java/org/woadloom/net/UndertowTransport.java
+++ b/src/main/java/org/woadloom/net/UndertowTransport.java
@@ -14,6 +14,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
@@ -26,19 +27,34 @@
 public final class UndertowTransport implements HttpTransport {
     private static final int MAX_IDLE = 8;
     private static final long IDLE_MICROS = 20_000_000;
+    /** How many idle connections are looked at for their age after each request. */
+    private static final int SWEEP = 2;
     private static final HttpString CBOR_LENGTH = Headers.CONTENT_LENGTH;
 
     private final Loop loop;
     private final XnioIoThread thread;
     private final ByteBufferPool buffers;
     private final HttpClientProvider provider = new HttpClientProvider();
+    private final int mostIdle;
     private final Map<String, ArrayDeque<Idle>> idle = new HashMap<>();
+    /** All of them, the longest idle first: workers come by the hundred, and sockets are limited. */
+    private final LinkedHashSet<Idle> byAge = new LinkedHashSet<>();
 
-    private record Idle(ClientConnection connection, long sinceMicros) {
+    private static final class Idle {
+        final String address;
+        final ClientConnection connection;
+        final long sinceMicros;
+
+        Idle(String address, ClientConnection connection, long sinceMicros) {
+            this.address = address;
+            this.connection = connection;
+            this.sinceMicros = sinceMicros;
+        }
     }
 
-    public UndertowTransport(Loop loop, XnioIoThread thread, ByteBufferPool buffers) {
+    public UndertowTransport(Loop loop, XnioIoThread thread, ByteBufferPool buffers, int mostIdle) {
         this.loop = loop;
+        this.mostIdle = mostIdle;
         this.thread = thread;
         this.buffers = buffers;
     }
@@ -74,6 +90,7 @@
         ArrayDeque<Idle> queue = idle.get(address);
         while (queue != null && !queue.isEmpty()) {
             Idle candidate = queue.pollLast();
+            byAge.remove(candidate);
             if (candidate.connection.isOpen() && loop.nowMicros() - candidate.sinceMicros < IDLE_MICROS) {
                 return candidate.connection;
             }
@@ -88,7 +105,26 @@
             IoUtils.safeClose(connection);
             return;
         }
-        queue.addLast(new Idle(connection, loop.nowMicros()));
+        Idle mine = new Idle(address, connection, loop.nowMicros());
+        queue.addLast(mine);
+        byAge.add(mine);
+        for (int i = 0; i < SWEEP && !byAge.isEmpty(); i++) {
+            Idle oldest = byAge.iterator().next();
+            if (byAge.size() <= mostIdle && loop.nowMicros() - oldest.sinceMicros < IDLE_MICROS) {
+                break;
+            }
+            drop(oldest);
+        }
+    }
+
+    private void drop(Idle candidate) {
+        byAge.remove(candidate);
+        ArrayDeque<Idle> queue = idle.get(candidate.address);
+        queue.remove(candidate);
+        if (queue.isEmpty()) {
+            idle.remove(candidate.address);
+        }
+        IoUtils.safeClose(candidate.connection);
     }
 
     private final class Call {
--- a/src/main/java/org/woadloom/node/Node.java
+++ b/src/main/java/org/woadloom/node/Node.java
@@ -25,6 +25,7 @@
 import org.woadloom.net.Loop;
 import org.woadloom.peer.PeerNet;
 import org.woadloom.settings.OperatorSettings;
+import org.woadloom.settings.Peer;
 import org.woadloom.settings.ServiceSettings;
 import org.woadloom.state.JobRecord;
 import org.woadloom.state.Keys;
@@ -70,7 +71,8 @@
         this.settings = settings;
         state = new StateClient(loop, transport, settings, random);
         cloud = new CloudClient(loop, transport, settings);
-        duties = new LeaderDuties(loop, state, cloud, new WorkerClient(transport), settings, this::abdicate);
+        duties = new LeaderDuties(loop, state, cloud, new WorkerClient(transport,
+                settings.resources().fdLimit() / 8), settings, this::abdicate);
         Core core = new Core(CoreSettings.of(settings, operator));
         queue = new CommandQueue(loop, core, metrics, MOST_REPORTS_WAITING, duties::execute);
         duties.attach(queue);
@@ -90,7 +92,7 @@
                 duties.end();
             }
         });
-        peers = new PeerLinks(loop, net, election, new PeerLinks.Inbox() {
+        peers = new PeerLinks(loop, net, settings.peers().stream().map(Peer::label).toList(), election, new PeerLinks.Inbox() {
             @Override
             public void hint(JobRecord record, long stamp) {
                 tellCore(record, stamp);
--- a/src/main/java/org/woadloom/node/PeerLinks.java
+++ b/src/main/java/org/woadloom/node/PeerLinks.java
@@ -1,6 +1,7 @@
 package org.woadloom.node;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
@@ -31,6 +32,7 @@
 
     private final Loop loop;
     private final PeerNet net;
+    private final List<String> labels;
     private final Election election;
     private final Inbox inbox;
     private final Map<String, Link> links = new HashMap<>();
@@ -45,7 +47,8 @@
         int refusals;
     }
 
-    PeerLinks(Loop loop, PeerNet net, Election election, Inbox inbox) {
+    PeerLinks(Loop loop, PeerNet net, List<String> labels, Election election, Inbox inbox) {
+        this.labels = labels;
         this.loop = loop;
         this.net = net;
         this.election = election;
@@ -64,8 +67,9 @@
             if (link.connected) {
                 link.connectedInTerm = election.knownTerm();
             }
-            net.send(leader, new PeerMessage.Ping(++ids));
         }
+        PeerMessage ping = new PeerMessage.Ping(election.knownTerm(), leader == null ? "" : leader);
+        labels.forEach(label -> net.send(label, ping));
         loop.schedule(PING_MICROS, this::ping);
     }
 
@@ -73,7 +77,7 @@
         return links.computeIfAbsent(label, l -> new Link());
     }
 
-    /** True if the peer answered lately over the direct link. */
+    /** True if the peer was heard lately and the direct link to it stands. */
     boolean reaches(String label) {
         Link link = link(label);
         return link.connected && loop.nowMicros() - link.heardMicros < REACH_MICROS;
@@ -100,7 +104,9 @@
     public void received(String from, PeerMessage message) {
         link(from).heardMicros = loop.nowMicros();
         if (message instanceof PeerMessage.Ping ping) {
-            net.send(from, new PeerMessage.Pong(ping.id()));
+            if (ping.leader() != null && !ping.leader().isEmpty()) {
+                election.heardOf(ping.leader(), ping.term());
+            }
         } else if (message instanceof PeerMessage.Hint hint) {
             try {
                 inbox.hint(JobRecord.parse(Cbor.decodeMap(hint.record())), hint.stamp());
--- a/src/main/java/org/woadloom/node/Server.java
+++ b/src/main/java/org/woadloom/node/Server.java
@@ -34,7 +34,8 @@
         XnioIoThread thread = worker.getIoThread();
         ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, 256, 4);
         XnioLoop loop = new XnioLoop(thread);
-        UndertowTransport transport = new UndertowTransport(loop, thread, buffers);
+        UndertowTransport transport = new UndertowTransport(loop, thread, buffers,
+                settings.resources().fdLimit() / 10);
         Random random = new Random(System.nanoTime() ^ settings.label().hashCode());
         XnioPeerNet peers = new XnioPeerNet(loop, worker, settings);
         Node node = new Node(loop, transport, peers, settings, operator, random);
--- a/src/main/java/org/woadloom/peer/PeerCodec.java
+++ b/src/main/java/org/woadloom/peer/PeerCodec.java
@@ -20,10 +20,13 @@
         kryo.setReferences(false);
         register(PeerMessage.Hello.class, 10, (out, m) -> out.writeString(m.label()),
                 in -> new PeerMessage.Hello(in.readString()));
-        register(PeerMessage.Ping.class, 11, (out, m) -> out.writeLong(m.id()),
-                in -> new PeerMessage.Ping(in.readLong()));
-        register(PeerMessage.Pong.class, 12, (out, m) -> out.writeLong(m.id()),
-                in -> new PeerMessage.Pong(in.readLong()));
+        register(PeerMessage.Ping.class, 11, (out, m) -> {
+            out.writeLong(m.term());
+            out.writeString(m.leader());
+        }, in -> {
+            long term = in.readLong();
+            return new PeerMessage.Ping(term, in.readString());
+        });
         register(PeerMessage.Hint.class, 13, (out, m) -> {
             out.writeLong(m.stamp());
             writeBytes(out, m.record());
--- a/src/main/java/org/woadloom/peer/PeerMessage.java
+++ b/src/main/java/org/woadloom/peer/PeerMessage.java
@@ -6,11 +6,11 @@
     record Hello(String label) implements PeerMessage {
     }
 
-    /** Asks for a {@link Pong}, so that a silent cut is noticed. */
-    record Ping(long id) implements PeerMessage {
-    }
-
-    record Pong(long id) implements PeerMessage {
+    /**
+     * Sent all the time, so that a silent cut is noticed, with the highest term that the sender knows and who leads in it
+     * (empty for nobody): a node that only the state service refuses hears of a new leader that way.
+     */
+    record Ping(long term, String leader) implements PeerMessage {
     }
 
     /** A job's record, as CBOR, that this node has just made durable. */
--- a/src/main/java/org/woadloom/worker/WorkerClient.java
+++ b/src/main/java/org/woadloom/worker/WorkerClient.java
@@ -1,5 +1,6 @@
 package org.woadloom.worker;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -17,21 +18,40 @@
     private static final long TIMEOUT_MICROS = 2_000_000;
 
     private final HttpTransport transport;
+    private final int mostInFlight;
+    private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
+    private int inFlight;
 
     public interface Callback {
         void result(Command.DirectResult result);
     }
 
-    public WorkerClient(HttpTransport transport) {
+    /** @param mostInFlight how many commands may be under way, each of them on a connection of its own */
+    public WorkerClient(HttpTransport transport, int mostInFlight) {
         this.transport = transport;
+        this.mostInFlight = mostInFlight;
     }
 
     public void send(Effect.SendDirect send, Callback callback) {
+        waiting.addLast(() -> request(send, callback));
+        pump();
+    }
+
+    private void pump() {
+        while (inFlight < mostInFlight && !waiting.isEmpty()) {
+            inFlight++;
+            waiting.pollFirst().run();
+        }
+    }
+
+    private void request(Effect.SendDirect send, Callback callback) {
         Map<String, Object> map = new LinkedHashMap<>();
         map.put("epoch", send.epoch());
         map.put("tenure", send.tenure());
         map.put("orders", orders(send.orders()));
         transport.request(send.addr(), "POST", "/do", Cbor.encode(map), TIMEOUT_MICROS, (status, body) -> {
+            inFlight--;
+            pump();
             WorkerReport report = null;
             if (status == 200 || status == 409) {
                 try {
