--- a/src/main/java/org/woadloom/core/World.java
+++ b/src/main/java/org/woadloom/core/World.java
@@ -1,9 +1,11 @@
 package org.woadloom.core;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.woadloom.core.jobs.Job;
 import org.woadloom.core.machines.Machine;
 import org.woadloom.core.teams.TeamUse;
@@ -19,6 +21,8 @@
     public final Map<String, Machine> machines = new LinkedHashMap<>();
     public final Map<String, TeamUse> teams = new LinkedHashMap<>();
     public final Map<String, MachineType> types = new LinkedHashMap<>();
+    /** Zones in which no machine of the ordinary kinds was to be had lately. */
+    public final Set<String> scarceYards = new HashSet<>();
     public long nowMicros;
     public long wallMicros;
     /** Set when something changed that may let a task be placed. */
--- a/src/main/java/org/woadloom/core/capacity/Capacity.java
+++ b/src/main/java/org/woadloom/core/capacity/Capacity.java
@@ -1,9 +1,13 @@
 package org.woadloom.core.capacity;
 
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.woadloom.core.Command;
 import org.woadloom.core.Effect;
 import org.woadloom.core.World;
@@ -24,6 +28,9 @@
     private static final int MAX_CLAIMS = 4;
     private static final long REVIEW_MICROS = 500_000;
     private static final long NO_CAPACITY_MICROS = 15_000_000;
+    /** The cloud charges a machine for this long at least, so it may as well stay. */
+    private static final long LEAST_CHARGE_MICROS = 55_000_000;
+    private static final long SCARCE_MICROS = 60_000_000;
     private static final long SILENCE_MARGIN_MICROS = 1_000_000;
     private static final long REPEAT_MICROS = 1_500_000;
 
@@ -34,6 +41,7 @@
     private final Reservations reservations;
     private final Map<String, Claim> claims = new LinkedHashMap<>();
     private final Map<Kind, Long> notBefore = new LinkedHashMap<>();
+    private final Map<Kind, Long> refusedMicros = new HashMap<>();
     private long reviewedMicros = Long.MIN_VALUE / 2;
 
     /** What can be rented. */
@@ -89,6 +97,7 @@
             return;
         }
         reviewedMicros = world.nowMicros;
+        noteScarceYards();
         if (world.nowMicros - world.startedMicros > 2 * world.settings.reportMicros()) {
             rent();
         }
@@ -151,6 +160,28 @@
         }
     }
 
+    /** A zone is scarce where every ordinary kind was refused lately: what is there is for work that has no choice. */
+    private void noteScarceYards() {
+        world.scarceYards.clear();
+        Set<String> open = new HashSet<>();
+        for (MachineType type : world.types.values()) {
+            for (String yard : type.yards()) {
+                Long refused = refusedMicros.get(new Kind(type, yard, false));
+                if (refused != null && world.nowMicros - refused < SCARCE_MICROS) {
+                    world.scarceYards.add(yard);
+                } else {
+                    open.add(yard);
+                }
+            }
+        }
+        world.scarceYards.removeAll(open);
+    }
+
+    private void refused(Kind kind) {
+        notBefore.put(kind, world.nowMicros + NO_CAPACITY_MICROS);
+        refusedMicros.put(kind, world.nowMicros);
+    }
+
     private boolean usable(Job job, Kind kind) {
         return eligibility.allows(job.description, kind.type, kind.yard, kind.reclaimable)
                 && eligibility.allowsYard(job, kind.yard);
@@ -202,13 +233,13 @@
                     machine.rentedMicros = world.nowMicros;
                 }
                 if (result.hosts().size() < claim.count) {
-                    notBefore.put(claim.kind, world.nowMicros + NO_CAPACITY_MICROS);
+                    refused(claim.kind);
                 }
                 world.note("rented " + result.hosts() + " as " + claim.name);
             }
             case NO_CAPACITY -> {
                 claims.remove(claim.name);
-                notBefore.put(claim.kind, world.nowMicros + NO_CAPACITY_MICROS);
+                refused(claim.kind);
                 world.note("no capacity for " + claim.name);
             }
             case REFUSED, UNKNOWN -> {
@@ -228,7 +259,8 @@
                 used = used.plus(machine.used());
             }
         }
-        double headroom = world.settings.operator().headroom();
+        long headroom = (long) (used.cpu() * world.settings.operator().headroom());
+        List<Machine> idle = new ArrayList<>();
         for (Machine machine : world.machines.values()) {
             if (machine.leaving || machine.deleted || reservations.holdsAny(machine)) {
                 continue;
@@ -240,9 +272,16 @@
             } else if (neverCame(machine) || lost(machine) || machine.takenMicros >= 0 && machine.empty()) {
                 machine.leaving = true;
                 world.note("machine " + machine.host + " is given up");
-            } else if (machine.heard() && machine.empty() && eligibility.takesTasks(machine)
-                    && world.nowMicros - machine.idleSinceMicros > world.settings.operator().idleReturnMicros()
-                    && free.minus(machine.size()).cpu() > used.cpu() * headroom) {
+            } else if (machine.heard() && machine.empty() && eligibility.takesTasks(machine)) {
+                idle.add(machine);
+            }
+        }
+        // The dearest first: what is kept should be cheap.
+        idle.sort(Comparator.comparingDouble((Machine machine) -> -machine.pricePerCpu()));
+        for (Machine machine : idle) {
+            long left = free.minus(machine.size()).cpu();
+            if (left > headroom && world.nowMicros - machine.idleSinceMicros > patience(machine, left, headroom)
+                    && world.nowMicros - machine.rentedMicros > LEAST_CHARGE_MICROS) {
                 machine.leaving = true;
                 free = free.minus(machine.size());
                 world.note("machine " + machine.host + " is returned: idle");
@@ -250,6 +289,15 @@
         }
     }
 
+    /**
+     * How long a machine may be idle. To rent it again costs the time it boots, so it is kept idle for no longer than
+     * that, and for less where much more is free than is kept free on purpose.
+     */
+    private long patience(Machine machine, long left, long headroom) {
+        long most = Math.min(world.settings.operator().idleReturnMicros(), machine.type.readyMicros());
+        return left > 2 * headroom ? most / 4 : most;
+    }
+
     /**
      * Replicas on a silent machine serve nobody. Deleting it proves that they are gone long before its lease would.
      * Where much of a zone is silent at once, the fault is elsewhere, and the machines are left alone.
--- a/src/main/java/org/woadloom/core/machines/Machine.java
+++ b/src/main/java/org/woadloom/core/machines/Machine.java
@@ -190,6 +190,12 @@
         return room;
     }
 
+    /** What a processor costs here, by the prices last seen; 0 while they are unknown. */
+    public double pricePerCpu() {
+        return type == null || type.vcpus() <= 0 ? 0
+                : (reclaimable ? type.marketPrice() : type.rate()) / type.vcpus();
+    }
+
     public Room free() {
         return room().floor();
     }
--- a/src/main/java/org/woadloom/core/placement/Candidates.java
+++ b/src/main/java/org/woadloom/core/placement/Candidates.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import org.woadloom.core.jobs.Job;
 import org.woadloom.core.jobs.Placement;
 import org.woadloom.core.machines.Machine;
@@ -14,13 +15,18 @@
  * at again. That is as good as looking at all each time, since placing a task makes no machine but its own better.
  */
 final class Candidates {
+    /** What the price counts at most, against 100 for an image that is there. */
+    private static final double CHEAPEST = 150;
+
     private final Job job;
+    private final Set<String> scarce;
     private final Eligibility eligibility;
     private final Reservations reservations;
     private final PriorityQueue<Candidate> queue = new PriorityQueue<>();
     /** Replicas of the job by machine; empty for other jobs. */
     private final Map<Machine, Integer> replicas = new HashMap<>();
     private final Map<String, Integer> roomByYard = new HashMap<>();
+    private double dearest = Double.MIN_NORMAL;
     private Candidate taken;
 
     private static final class Candidate implements Comparable<Candidate> {
@@ -40,8 +46,9 @@
         }
     }
 
-    Candidates(Job job, List<Machine> open, Eligibility eligibility, Reservations reservations) {
+    Candidates(Job job, List<Machine> open, Set<String> scarce, Eligibility eligibility, Reservations reservations) {
         this.job = job;
+        this.scarce = scarce;
         this.eligibility = eligibility;
         this.reservations = reservations;
         if (job.description.service()) {
@@ -57,6 +64,9 @@
                 }
             }
         }
+        for (Machine machine : open) {
+            dearest = Math.max(dearest, machine.pricePerCpu());
+        }
         int order = 0;
         for (Machine machine : open) {
             Candidate candidate = new Candidate(machine, order++);
@@ -119,9 +129,9 @@
         if (job.description.service()) {
             // Replicas on one machine are lost together.
             score -= 1000.0 * replicas.getOrDefault(machine, 0);
-        } else if (machine.reclaimable) {
-            // Ordinary room is for work that may not use spot machines.
-            score += 50;
+        } else {
+            // Dear machines fall idle first, and ordinary ones have room for work that may not use spot machines.
+            score += CHEAPEST * (1 - machine.pricePerCpu() / dearest);
         }
         if (startsTogether()) {
             // The first task fixes the zone, so it goes where most of the others fit.
@@ -130,6 +140,10 @@
         if (job.description.apart()) {
             score -= 10.0 * job.placedIn(machine.yard);
         }
+        if (scarce.contains(machine.yard) && !machine.reclaimable) {
+            // Replicas that must spread put only the odd one elsewhere; work that has a choice stays away.
+            score -= job.description.apart() ? 15 : 300;
+        }
         // Fullest first, so that idle machines can be returned.
         score += 20.0 * machine.used().cpu() / Math.max(1, machine.size().cpu());
         return score;
--- a/src/main/java/org/woadloom/core/placement/Placer.java
+++ b/src/main/java/org/woadloom/core/placement/Placer.java
@@ -80,7 +80,7 @@
         if (!size.takesMore() || job.description.gang() && !gangFits(job, size.mostMore())) {
             return false;
         }
-        Candidates candidates = new Candidates(job, open, eligibility, reservations);
+        Candidates candidates = new Candidates(job, open, world.scarceYards, eligibility, reservations);
         int placed = 0;
         boolean full = false;
         for (int index = job.nextPending(0); index >= 0 && size.takesMore();
--- a/src/main/java/org/woadloom/node/Node.java
+++ b/src/main/java/org/woadloom/node/Node.java
@@ -200,11 +200,13 @@
         }
         long now = loop.nowMicros();
         Long before = redirected.getIfPresent(host);
-        if (!peers.reaches(leader)) {
+        boolean cameBack = before != null && now - before < RETURN_MICROS;
+        if (!peers.reaches(leader) && (cameBack || !peers.refuses(leader))) {
+            // Silence means a cut, which the worker would only find out by waiting for most of its lease.
             mailbox.carry(host, body, answer);
             return;
         }
-        if (before != null && now - before < RETURN_MICROS) {
+        if (cameBack) {
             peers.carry(leader, body, answer);
             return;
         }
--- a/src/main/java/org/woadloom/node/PeerLinks.java
+++ b/src/main/java/org/woadloom/node/PeerLinks.java
@@ -83,6 +83,15 @@
         return link.connected && loop.nowMicros() - link.heardMicros < REACH_MICROS;
     }
 
+    private boolean reachesAnother(String label) {
+        return labels.size() < 2 || labels.stream().anyMatch(other -> !other.equals(label) && reaches(other));
+    }
+
+    /** True if the peer's host says that it takes no connections: the way to it is open, for workers at least. */
+    boolean refuses(String label) {
+        return link(label).refusals > 0;
+    }
+
     void hint(String leader, JobRecord record, long stamp) {
         net.send(leader, new PeerMessage.Hint(Cbor.encode(record.toMap()), stamp));
     }
@@ -145,8 +154,9 @@
         link.refusals++;
         // A leader that we could reach in its term, and that refuses now, is most likely dead. If it only refuses us,
         // it will lead again in a term in which we never reached it, and then its grant decides: no ping-pong.
+        // And where no other peer can be reached either, it is more likely the way between nodes that is closed.
         if (link.refusals >= REFUSALS && label.equals(election.leader())
-                && link.connectedInTerm == election.knownTerm()) {
+                && link.connectedInTerm == election.knownTerm() && reachesAnother(label)) {
             election.takeOverFrom(label);
         }
     }
