--- a/src/main/java/org/woadloom/core/machines/MachineTable.java
+++ b/src/main/java/org/woadloom/core/machines/MachineTable.java
@@ -64,9 +64,10 @@
             if (machine == null) {
                 machine = adopt(new MachineRecord(listed.uid(), listed.hosttype(), listed.yard(),
                         listed.reclaimable(), false));
-                machine.rentedMicros = world.nowMicros - listed.heldMicros();
                 world.note("machine " + machine.host + " found in the list");
             }
+            // A new leader learns here for how long its machines have been paid for.
+            machine.rentedMicros = Math.min(machine.rentedMicros, world.nowMicros - listed.heldMicros());
             if (listed.failed() && !machine.leaving) {
                 // A failed machine stays listed until it is deleted, and the deletion's answer is the proof we need.
                 machine.leaving = true;
--- a/src/test/java/org/woadloom/core/CoreFixture.java
+++ b/src/test/java/org/woadloom/core/CoreFixture.java
@@ -21,10 +21,16 @@
     private static final MachineType TYPE = new MachineType("m16", 16, 0, 32, 50, 1, 1, 0.3, 30_000_000,
             List.of("a", "b"));
 
-    public final World world = new World(new CoreSettings(List.of(new Team("team", 16, 24, 0, 0)), 1_500_000,
-            10_000_000, 30_000_000, 8192, 100, 3_000_000, OperatorSettings.defaults()), 1, 1_000_000, 0);
+    public final World world;
 
     public CoreFixture() {
+        this(24);
+    }
+
+    /** @param limit the CPUs that the team may use at most */
+    public CoreFixture(double limit) {
+        world = new World(new CoreSettings(List.of(new Team("team", 16, limit, 0, 0)), 1_500_000, 10_000_000, 30_000_000,
+                8192, 100, 3_000_000, OperatorSettings.defaults()), 1, 1_000_000, 0);
         world.types.put(TYPE.name(), TYPE);
     }
 
@@ -41,11 +47,16 @@
     }
 
     public Job job(String uid, double vcpus, double ramGb, int shards) {
+        return job(uid, vcpus, ramGb, shards, false, false);
+    }
+
+    public Job job(String uid, double vcpus, double ramGb, int shards, boolean service, boolean apart) {
         Map<String, Object> map = new LinkedHashMap<>();
         map.put("uid", uid);
         map.put("jobclass", "work");
         map.put("crew", "team");
-        map.put("shape", "batch");
+        map.put("shape", service ? "service" : "batch");
+        map.put("apart", apart);
         map.put("rank", "high");
         map.put("shards", (long) shards);
         map.put("vcpus", vcpus);
--- /dev/null
+++ b/src/test/java/org/woadloom/core/teams/GuaranteesTest.java
@@ -0,0 +1,27 @@
+package org.woadloom.core.teams;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.woadloom.core.CoreFixture;
+import org.woadloom.core.jobs.Job;
+
+class GuaranteesTest {
+    /** The fixture's team is guaranteed 16 CPUs. */
+    @Test
+    void aJobIsWithinTheGuaranteeTogetherWithTheEarlierOnes() {
+        CoreFixture fixture = new CoreFixture();
+        Guarantees guarantees = new Guarantees(fixture.world);
+        Job first = fixture.job("j-1", 4, 1, 2);
+        Job second = fixture.job("j-2", 4, 1, 2);
+        Job third = fixture.job("j-3", 1, 1, 1);
+        guarantees.update();
+        assertTrue(first.guaranteed);
+        assertTrue(second.guaranteed);
+        assertFalse(third.guaranteed, "16 CPUs are taken by the earlier jobs, placed or not");
+        first.markDone(0);
+        guarantees.update();
+        assertTrue(third.guaranteed, "what is done needs no room any more");
+    }
+}
--- /dev/null
+++ b/src/test/java/org/woadloom/node/CommandQueueTest.java
@@ -0,0 +1,102 @@
+package org.woadloom.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.woadloom.core.Command;
+import org.woadloom.core.Core;
+import org.woadloom.core.CoreSettings;
+import org.woadloom.core.Effect;
+import org.woadloom.metrics.NodeMetrics;
+import org.woadloom.net.Loop;
+import org.woadloom.settings.OperatorSettings;
+import org.woadloom.settings.Team;
+import org.woadloom.state.JobRecord;
+import org.woadloom.wire.JobDescription;
+import org.woadloom.wire.WireException;
+import org.woadloom.wire.WorkerReport;
+
+class CommandQueueTest {
+    private static final int JOBS = 3_000;
+
+    private final ArrayDeque<Runnable> soon = new ArrayDeque<>();
+    private final List<Effect> effects = new ArrayList<>();
+    private final Core core = new Core(new CoreSettings(List.of(new Team("team", 100, 100, 0, 0)), 1_500_000, 10_000_000,
+            30_000_000, 8192, 100, 3_000_000, OperatorSettings.defaults()));
+    private final CommandQueue queue = new CommandQueue(new StillLoop(), core, new NodeMetrics(), 10, effects::addAll);
+
+    /** Time stands still, and what is put off comes next. */
+    private final class StillLoop implements Loop {
+        @Override
+        public long nowMicros() {
+            return 1_000_000;
+        }
+
+        @Override
+        public long wallMicros() {
+            return 0;
+        }
+
+        @Override
+        public void execute(Runnable task) {
+            soon.add(task);
+        }
+
+        @Override
+        public Timer schedule(long delayMicros, Runnable task) {
+            soon.add(task);
+            return () -> {
+            };
+        }
+    }
+
+    @Test
+    void reportsAreShedWhenFullAndOutcomesNever() throws WireException {
+        List<Command.StoredJob> jobs = new ArrayList<>();
+        for (int i = 0; i < JOBS; i++) {
+            jobs.add(new Command.StoredJob(record(i), 1));
+        }
+        queue.add(new Command.Lead(1, jobs, List.of()));
+        int taken = 0;
+        for (int i = 0; i < 25; i++) {
+            taken += queue.offer(report(i, 1)) ? 1 : 0;
+        }
+        assertEquals(10, taken);
+        for (int i = 0; i < JOBS; i++) {
+            queue.add(new Command.JobSeen(record(i).asCancelled(), 2));
+        }
+        assertFalse(queue.offer(report(99, 1)));
+        while (!soon.isEmpty()) {
+            soon.poll().run();
+        }
+        assertEquals(10, effects.stream().filter(Effect.Answer.class::isInstance).count());
+        assertEquals(JOBS, effects.stream().filter(Effect.FinishJob.class::isInstance).count());
+        assertTrue(queue.offer(report(1, 2)), "there is room again");
+    }
+
+    private static Command.Report report(int host, long tick) {
+        return new Command.Report(host, new WorkerReport("host-" + host, "a:1", "m", "a", false, 1, tick, 0, -1,
+                List.of()));
+    }
+
+    private static JobRecord record(int i) throws WireException {
+        Map<String, Object> map = new LinkedHashMap<>();
+        map.put("uid", String.format("j-%06d", i));
+        map.put("jobclass", "work");
+        map.put("crew", "team");
+        map.put("shape", "batch");
+        map.put("rank", "high");
+        map.put("shards", 1L);
+        map.put("vcpus", 1.0);
+        map.put("ramGb", 1.0);
+        map.put("bundle", "img");
+        return JobRecord.accepted(JobDescription.parse(map), 0);
+    }
+}
--- a/src/test/java/org/woadloom/sim/World.java
+++ b/src/test/java/org/woadloom/sim/World.java
@@ -35,6 +35,10 @@
     private final long leaseForNodes;
     /** While set, the two zones can't reach each other; the state service and the cloud belong to neither. */
     private boolean cut;
+    /** While set, no node takes connections from another. */
+    private boolean peersRefused;
+    /** The node that the state service refuses, or -1. */
+    private int refusedByState = -1;
     /** How many of a thousand requests are held back, or lose their answer. */
     int trouble = 4;
     private int jobs;
@@ -139,6 +143,12 @@
                     }
                     continue;
                 }
+                if (peersRefused) {
+                    boolean was = connected[other.index];
+                    connected[other.index] = false;
+                    listener.lost(label(other.index), !was);
+                    continue;
+                }
                 if (other.alive && !connected[other.index]) {
                     connected[other.index] = true;
                     listener.connected(label(other.index));
@@ -225,7 +235,9 @@
             }
         }, respond -> {
             Map<String, Object> map = decode(body);
-            if (address.equals("state")) {
+            if (address.equals("state") && member.index == refusedByState) {
+                respond.answer(503, Map.of("error", "trouble"));
+            } else if (address.equals("state")) {
                 state.handle(method, path, map, respond);
             } else if (address.equals("cloud")) {
                 loop.after(150_000, () -> cloud.handle(method, path, map, respond));
@@ -409,7 +421,7 @@
     }
 
     private void fault() {
-        switch (random.nextInt(10)) {
+        switch (random.nextInt(12)) {
             case 0, 1 -> restart(members[random.nextInt(NODES)]);
             case 2 -> {
                 for (Member member : members) {
@@ -428,6 +440,14 @@
             }
             case 5, 6 -> anyWorker(worker -> worker.hungUntil = loop.now() + random.nextInt(25_000_000));
             case 7 -> anyWorker(WorkerStandIn::die);
+            case 9 -> {
+                peersRefused = true;
+                loop.after(5_000_000 + random.nextInt(20_000_000), () -> peersRefused = false);
+            }
+            case 10 -> {
+                refusedByState = random.nextInt(NODES);
+                loop.after(5_000_000 + random.nextInt(25_000_000), () -> refusedByState = -1);
+            }
             case 8 -> {
                 cut = true;
                 loop.after(5_000_000 + random.nextInt(25_000_000), () -> cut = false);
