--- a/src/main/java/org/woadloom/core/jobs/Job.java
+++ b/src/main/java/org/woadloom/core/jobs/Job.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -81,6 +82,11 @@
         return perYard.keySet();
     }
 
+    /** How many tasks are or may be in each zone. */
+    public Map<String, Integer> zones() {
+        return Collections.unmodifiableMap(perYard);
+    }
+
     public int pending() {
         return over() ? 0 : description.shards() - taken.cardinality();
     }
--- a/src/main/java/org/woadloom/core/placement/Placer.java
+++ b/src/main/java/org/woadloom/core/placement/Placer.java
@@ -100,7 +100,8 @@
             placed++;
         }
         if (placed > 0) {
-            world.debug("job " + job.uid() + " places " + placed + " tasks, " + job.pending() + " pending");
+            world.debug("job " + job.uid() + " places " + placed + " tasks, " + job.pending() + " pending, in all "
+                    + job.zones());
         }
         return full;
     }
