--- a/src/main/java/org/woadloom/core/placement/Preemption.java
+++ b/src/main/java/org/woadloom/core/placement/Preemption.java
@@ -213,10 +213,15 @@
         }
     }
 
+    /**
+     * A lower rank, or a borrower of the same rank. The protocol would let a guarantee stop borrowers of a higher rank as
+     * well; those would then stop the job in turn, and so on.
+     */
     private boolean mayStop(Job job, Placement placement) {
         Job other = placement.job;
-        if (other.description.rank().compareTo(job.description.rank()) < 0) {
-            return true;
+        int order = other.description.rank().compareTo(job.description.rank());
+        if (order != 0) {
+            return order < 0;
         }
         return other.team != job.team && !other.guaranteed && other.team.beyondGuarantee() && job.guaranteed
                 && job.team.withinGuarantee(job.room);
