--- a/src/main/java/org/woadloom/core/CoreSettings.java
+++ b/src/main/java/org/woadloom/core/CoreSettings.java
@@ -1,16 +1,17 @@
 package org.woadloom.core;
 
 import java.util.List;
+import org.woadloom.settings.Objective;
 import org.woadloom.settings.OperatorSettings;
 import org.woadloom.settings.ServiceSettings;
 import org.woadloom.settings.Team;
 
 /** What the core is told of the deployment. */
-public record CoreSettings(List<Team> teams, long reportMicros, long leaseMicros, long cancelMicros, int valueBytes,
+public record CoreSettings(List<Team> teams, List<Objective> objectives, long reportMicros, long leaseMicros, long cancelMicros, int valueBytes,
         double writesPerSecond, long listLagMicros, OperatorSettings operator) {
 
     public static CoreSettings of(ServiceSettings settings, OperatorSettings operator) {
-        return new CoreSettings(settings.teams(), settings.workers().reportMicros(), settings.workers().leaseMicros(),
+        return new CoreSettings(settings.teams(), settings.objectives(), settings.workers().reportMicros(), settings.workers().leaseMicros(),
                 settings.workers().cancelMicros(), settings.state().valueBytes(), settings.state().writeRps(),
                 settings.cloud().listLagMicros(),
                 operator);
--- a/src/main/java/org/woadloom/core/placement/Placer.java
+++ b/src/main/java/org/woadloom/core/placement/Placer.java
@@ -1,7 +1,6 @@
 package org.woadloom.core.placement;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,21 +12,19 @@
 import org.woadloom.core.reservation.Reservation;
 import org.woadloom.core.reservation.Reservations;
 
-/** Decides what runs where: by rank, then work within its team's guarantee, then age. */
+/** Decides what runs where, in the order of {@link ServiceOrder}. */
 public final class Placer {
 
-    private static final Comparator<Job> ORDER = Comparator.comparing((Job job) -> job.description.rank()).reversed()
-            .thenComparing(job -> !job.guaranteed).thenComparingLong(job -> job.submittedMicros)
-            .thenComparing(Job::uid);
-
     private final World world;
     private final Eligibility eligibility;
     private final Reservations reservations;
+    private final ServiceOrder order;
 
     public Placer(World world, Eligibility eligibility, Reservations reservations) {
         this.world = world;
         this.eligibility = eligibility;
         this.reservations = reservations;
+        this.order = new ServiceOrder(world);
     }
 
     /** Jobs with pending tasks that may be placed now, in the order in which they are served. */
@@ -38,8 +35,7 @@
                 jobs.add(job);
             }
         }
-        jobs.sort(ORDER);
-        return jobs;
+        return order.sorted(jobs);
     }
 
     /** Places what finds room. */
--- a/src/test/java/org/woadloom/core/CoreFixture.java
+++ b/src/test/java/org/woadloom/core/CoreFixture.java
@@ -29,7 +29,7 @@
 
     /** @param limit the CPUs that the team may use at most */
     public CoreFixture(double limit) {
-        world = new World(new CoreSettings(List.of(new Team("team", 16, limit, 0, 0)), 1_500_000, 10_000_000, 30_000_000,
+        world = new World(new CoreSettings(List.of(new Team("team", 16, limit, 0, 0)), List.of(), 1_500_000, 10_000_000, 30_000_000,
                 8192, 100, 3_000_000, OperatorSettings.defaults()), 1, 1_000_000, 0);
         world.types.put(TYPE.name(), TYPE);
     }
@@ -51,7 +51,19 @@
     }
 
     public Job job(String uid, double vcpus, double ramGb, int shards, boolean service, boolean apart) {
+        return job(uid, vcpus, ramGb, shards, service, apart, new LinkedHashMap<>());
+    }
+
+    /** One task of one CPU with an estimate of its run time and a deadline, submitted now. */
+    public Job due(String uid, double runtimeS, double dueS) {
         Map<String, Object> map = new LinkedHashMap<>();
+        map.put("runtimeS", runtimeS);
+        map.put("dueS", dueS);
+        return job(uid, 1, 1, 1, false, false, map);
+    }
+
+    private Job job(String uid, double vcpus, double ramGb, int shards, boolean service, boolean apart,
+            Map<String, Object> map) {
         map.put("uid", uid);
         map.put("jobclass", "work");
         map.put("crew", "team");
--- /dev/null
+++ b/src/test/java/org/woadloom/core/placement/ServiceOrderTest.java
@@ -0,0 +1,38 @@
+package org.woadloom.core.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.woadloom.core.CoreFixture;
+import org.woadloom.core.jobs.Job;
+
+class ServiceOrderTest {
+    private final CoreFixture fixture = new CoreFixture();
+    private final ServiceOrder order = new ServiceOrder(fixture.world);
+
+    @Test
+    void whatCanStillBeInTimeGoesBeforeWhatIsLate() {
+        Job late = fixture.due("j-1", 10, 30);
+        fixture.world.nowMicros += 25_000_000;
+        Job fresh = fixture.due("j-2", 10, 30);
+        assertEquals(List.of(fresh, late), order.sorted(List.of(late, fresh)));
+    }
+
+    @Test
+    void aLateJobDoesNotWaitForEver() {
+        Job late = fixture.due("j-1", 10, 30);
+        fixture.world.nowMicros += 200_000_000;
+        Job fresh = fixture.due("j-2", 10, 30);
+        assertEquals(List.of(late, fresh), order.sorted(List.of(fresh, late)));
+    }
+
+    @Test
+    void theGuaranteeComesBeforeLateness() {
+        Job late = fixture.due("j-1", 10, 30);
+        late.guaranteed = true;
+        fixture.world.nowMicros += 25_000_000;
+        Job fresh = fixture.due("j-2", 10, 30);
+        assertEquals(List.of(late, fresh), order.sorted(List.of(fresh, late)));
+    }
+}
