--- a/src/main/java/org/woadloom/core/capacity/Capacity.java
+++ b/src/main/java/org/woadloom/core/capacity/Capacity.java
@@ -42,6 +42,7 @@
     private final Map<String, Claim> claims = new LinkedHashMap<>();
     private final Map<Kind, Long> notBefore = new LinkedHashMap<>();
     private final Map<Kind, Long> refusedMicros = new HashMap<>();
+    private final Demand demand = new Demand();
     private long reviewedMicros = Long.MIN_VALUE / 2;
 
     /** What can be rented. */
@@ -99,12 +100,34 @@
         reviewedMicros = world.nowMicros;
         noteScarceYards();
         if (world.nowMicros - world.startedMicros > 2 * world.settings.reportMicros()) {
-            rent();
+            List<Job> queue = placer.queue();
+            updateDemand(queue);
+            rent(queue);
         }
         giveBack();
     }
 
-    private void rent() {
+    private void updateDemand(List<Job> queue) {
+        double cpus = 0;
+        for (Machine machine : world.machines.values()) {
+            cpus += machine.deleted ? 0 : machine.used().cpu();
+        }
+        for (Job job : queue) {
+            cpus += (double) job.room.cpu() * Math.min(job.pending(), job.team.allowed(job.room));
+        }
+        long slowest = 0;
+        for (MachineType type : world.types.values()) {
+            slowest = Math.max(slowest, type.readyMicros());
+        }
+        demand.update(world.nowMicros, cpus, slowest / 2, 2 * slowest);
+    }
+
+    /** The room that there should be: for the demand, and what is kept free on purpose. */
+    private double wantedCpus() {
+        return demand.cpus() * (1 + world.settings.operator().headroom());
+    }
+
+    private void rent(List<Job> queue) {
         List<Supply> supply = new ArrayList<>();
         for (Machine machine : world.machines.values()) {
             // A machine that boots, or whose worker has not yet acknowledged this leader.
@@ -118,8 +141,15 @@
                 supply.add(new Supply(claim.kind, Room.of(claim.kind.type)));
             }
         }
+        double missing = wantedCpus();
+        for (Machine machine : world.machines.values()) {
+            missing -= machine.leaving || machine.deleted || machine.takenMicros >= 0 ? 0 : machine.size().cpu();
+        }
+        for (Claim claim : claims.values()) {
+            missing -= (double) claim.count * Room.of(claim.kind.type).cpu();
+        }
         Map<Kind, Integer> wanted = new LinkedHashMap<>();
-        for (Job job : placer.queue()) {
+        for (Job job : queue) {
             int tasks = Math.min(job.pending() - reservations.coming(job), job.team.allowed(job.room));
             Map<String, Integer> spread = new LinkedHashMap<>();
             for (Supply s : supply) {
@@ -135,10 +165,11 @@
             }
             while (tasks > 0) {
                 Kind kind = cheapest(job, tasks, spread);
-                if (kind == null) {
+                if (kind == null || !worthwhile(job, kind, missing)) {
                     break;
                 }
                 Room room = Room.of(kind.type);
+                missing -= room.cpu();
                 wanted.merge(kind, 1, Integer::sum);
                 int fits = Math.min(Math.min(tasks, room.count(job.room)), yardLeft(job, kind.yard, spread));
                 supply.add(new Supply(kind, room.minus(job.room.times(fits))));
@@ -187,6 +218,15 @@
                 && eligibility.allowsYard(job, kind.yard);
     }
 
+    /**
+     * Replicas stay, and are rented for at once. Other work may find room before a machine has booted, unless the fleet is
+     * too small for the demand, or the job has waited for so long already that there seems to be none for it.
+     */
+    private boolean worthwhile(Job job, Kind kind, double missing) {
+        return job.description.service() || missing > 0
+                || world.nowMicros - job.submittedMicros > kind.type.readyMicros();
+    }
+
     /** How many more tasks of the job may go to the zone, with what this review has given it there. */
     private static int yardLeft(Job job, String yard, Map<String, Integer> spread) {
         if (!job.description.apart()) {
@@ -259,7 +299,7 @@
                 used = used.plus(machine.used());
             }
         }
-        long headroom = (long) (used.cpu() * world.settings.operator().headroom());
+        long headroom = (long) Math.max(used.cpu() * world.settings.operator().headroom(), wantedCpus() - used.cpu());
         List<Machine> idle = new ArrayList<>();
         for (Machine machine : world.machines.values()) {
             if (machine.leaving || machine.deleted || reservations.holdsAny(machine)) {
