--- a/src/main/java/org/woadloom/cli/CheckCommand.java
+++ b/src/main/java/org/woadloom/cli/CheckCommand.java
@@ -2,6 +2,8 @@
 
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
+import org.woadloom.core.placement.RecordSize;
+import org.woadloom.node.Server;
 import org.woadloom.settings.OperatorSettings;
 import org.woadloom.settings.ServiceSettings;
 import org.woadloom.settings.SettingsException;
@@ -36,6 +38,9 @@
                 service.bind(), service.peers().size(), service.peerBind());
         System.out.printf("%d teams, zones %s, state service at %s, cloud at %s%n", service.teams().size(),
                 String.join(", ", service.zones()), service.stateAddress(), service.cloudAddress());
+        System.out.printf("at most %d workers and users connected at a time (fd_limit), %d tasks of a job placed at once"
+                + " where each has a machine of its own (value_kb)%n", Server.mostInbound(service),
+                RecordSize.tasksApart(service.state().valueBytes()));
         System.out.print(operator.describe());
         return DONE;
     }
--- a/src/main/java/org/woadloom/core/capacity/Capacity.java
+++ b/src/main/java/org/woadloom/core/capacity/Capacity.java
@@ -119,7 +119,7 @@
         for (MachineType type : world.types.values()) {
             slowest = Math.max(slowest, type.readyMicros());
         }
-        demand.update(world.nowMicros, cpus, slowest / 2, 2 * slowest);
+        demand.update(world.nowMicros, cpus, slowest / 2);
     }
 
     /** The room that there should be: for the demand, and what is kept free on purpose. */
@@ -299,7 +299,7 @@
                 used = used.plus(machine.used());
             }
         }
-        long headroom = (long) Math.max(used.cpu() * world.settings.operator().headroom(), wantedCpus() - used.cpu());
+        long headroom = (long) (used.cpu() * world.settings.operator().headroom());
         List<Machine> idle = new ArrayList<>();
         for (Machine machine : world.machines.values()) {
             if (machine.leaving || machine.deleted || reservations.holdsAny(machine)) {
--- a/src/main/java/org/woadloom/core/placement/RecordSize.java
+++ b/src/main/java/org/woadloom/core/placement/RecordSize.java
@@ -10,7 +10,7 @@
  * An upper bound of what a job's one record may grow to, so that a job too large for it runs in waves: what is placed at
  * once must fit the state service's values, however its tasks end.
  */
-final class RecordSize {
+public final class RecordSize {
     private static final int FIXED = 900;
     /** A machine's name, an attempt and what is around them. */
     private static final int PER_GROUP = 56;
@@ -37,6 +37,11 @@
         size = FIXED + PER_GROUP * groups.size() + PER_TASK * (job.placements().size() + doneRanges);
     }
 
+    /** How many tasks of a job a value of this size holds when each is on a machine of its own. */
+    public static int tasksApart(int valueBytes) {
+        return Math.max(0, (valueBytes - FIXED) / (PER_GROUP + PER_TASK));
+    }
+
     boolean takesMore() {
         return size + PER_GROUP + PER_TASK <= limit;
     }
--- a/src/main/java/org/woadloom/node/Server.java
+++ b/src/main/java/org/woadloom/node/Server.java
@@ -24,6 +24,11 @@
     private Server() {
     }
 
+    /** How many connections of workers and users are taken; the rest of the sockets is for what the node opens itself. */
+    public static int mostInbound(ServiceSettings settings) {
+        return settings.resources().fdLimit() * 7 / 10;
+    }
+
     public static Node start(ServiceSettings settings, OperatorSettings operator) throws IOException {
         XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder()
                 .set(Options.WORKER_NAME, "woadloom")
@@ -39,8 +44,7 @@
         Random random = new Random(System.nanoTime() ^ settings.label().hashCode());
         XnioPeerNet peers = new XnioPeerNet(loop, worker, settings);
         Node node = new Node(loop, transport, peers, settings, operator, random);
-        int maxConnections = settings.resources().fdLimit() * 7 / 10;
-        new ApiServer(Addresses.parse(settings.bind()), worker, buffers, maxConnections, node.router()).start();
+        new ApiServer(Addresses.parse(settings.bind()), worker, buffers, mostInbound(settings), node.router()).start();
         peers.bind();
         loop.execute(node::start);
         return node;
