--- a/src/main/java/org/woadloom/core/capacity/Capacity.java
+++ b/src/main/java/org/woadloom/core/capacity/Capacity.java
@@ -43,6 +43,7 @@
     private final Map<Kind, Long> notBefore = new LinkedHashMap<>();
     private final Map<Kind, Long> refusedMicros = new HashMap<>();
     private final Demand demand = new Demand();
+    private final Demand inUse = new Demand();
     private long reviewedMicros = Long.MIN_VALUE / 2;
 
     /** What can be rented. */
@@ -107,24 +108,29 @@
         giveBack();
     }
 
+    /** A machine is paid for a while at least, in which it runs several short tasks one after the other. */
     private void updateDemand(List<Job> queue) {
-        double cpus = 0;
+        double running = 0;
         for (Machine machine : world.machines.values()) {
-            cpus += machine.deleted ? 0 : machine.used().cpu();
+            running += machine.deleted ? 0 : machine.used().cpu();
         }
+        double waiting = 0;
         for (Job job : queue) {
-            cpus += (double) job.room.cpu() * Math.min(job.pending(), job.team.allowed(job.room));
+            double share = job.description.service() ? 1
+                    : Math.min(1, job.description.runtimeS() * 1e6 / LEAST_CHARGE_MICROS);
+            waiting += share * job.room.cpu() * Math.min(job.pending(), job.team.allowed(job.room));
         }
         long slowest = 0;
         for (MachineType type : world.types.values()) {
             slowest = Math.max(slowest, type.readyMicros());
         }
-        demand.update(world.nowMicros, cpus, slowest / 2);
+        inUse.update(world.nowMicros, running, slowest / 2);
+        demand.update(world.nowMicros, running + waiting, slowest / 2);
     }
 
-    /** The room that there should be: for the demand, and what is kept free on purpose. */
+    /** The room that there should be: for all work, and no less than what is in use with its headroom. */
     private double wantedCpus() {
-        return demand.cpus() * (1 + world.settings.operator().headroom());
+        return Math.max(demand.cpus(), inUse.cpus() * (1 + world.settings.operator().headroom()));
     }
 
     private void rent(List<Job> queue) {
