--- a/src/main/java/org/woadloom/core/capacity/Capacity.java
+++ b/src/main/java/org/woadloom/core/capacity/Capacity.java
@@ -42,8 +42,6 @@
     private final Map<String, Claim> claims = new LinkedHashMap<>();
     private final Map<Kind, Long> notBefore = new LinkedHashMap<>();
     private final Map<Kind, Long> refusedMicros = new HashMap<>();
-    private final Demand demand = new Demand();
-    private final Demand inUse = new Demand();
     private long reviewedMicros = Long.MIN_VALUE / 2;
 
     /** What can be rented. */
@@ -101,38 +99,11 @@
         reviewedMicros = world.nowMicros;
         noteScarceYards();
         if (world.nowMicros - world.startedMicros > 2 * world.settings.reportMicros()) {
-            List<Job> queue = placer.queue();
-            updateDemand(queue);
-            rent(queue);
+            rent(placer.queue());
         }
         giveBack();
     }
 
-    /** A machine is paid for a while at least, in which it runs several short tasks one after the other. */
-    private void updateDemand(List<Job> queue) {
-        double running = 0;
-        for (Machine machine : world.machines.values()) {
-            running += machine.deleted ? 0 : machine.used().cpu();
-        }
-        double waiting = 0;
-        for (Job job : queue) {
-            double share = job.description.service() ? 1
-                    : Math.min(1, job.description.runtimeS() * 1e6 / LEAST_CHARGE_MICROS);
-            waiting += share * job.room.cpu() * Math.min(job.pending(), job.team.allowed(job.room));
-        }
-        long slowest = 0;
-        for (MachineType type : world.types.values()) {
-            slowest = Math.max(slowest, type.readyMicros());
-        }
-        inUse.update(world.nowMicros, running, slowest / 2);
-        demand.update(world.nowMicros, running + waiting, slowest / 2);
-    }
-
-    /** The room that there should be: for all work, and no less than what is in use with its headroom. */
-    private double wantedCpus() {
-        return Math.max(demand.cpus(), inUse.cpus() * (1 + world.settings.operator().headroom()));
-    }
-
     private void rent(List<Job> queue) {
         List<Supply> supply = new ArrayList<>();
         for (Machine machine : world.machines.values()) {
@@ -147,13 +118,6 @@
                 supply.add(new Supply(claim.kind, Room.of(claim.kind.type)));
             }
         }
-        double missing = wantedCpus();
-        for (Machine machine : world.machines.values()) {
-            missing -= machine.leaving || machine.deleted || machine.takenMicros >= 0 ? 0 : machine.size().cpu();
-        }
-        for (Claim claim : claims.values()) {
-            missing -= (double) claim.count * Room.of(claim.kind.type).cpu();
-        }
         Map<Kind, Integer> wanted = new LinkedHashMap<>();
         for (Job job : queue) {
             int tasks = Math.min(job.pending() - reservations.coming(job), job.team.allowed(job.room));
@@ -171,11 +135,10 @@
             }
             while (tasks > 0) {
                 Kind kind = cheapest(job, tasks, spread);
-                if (kind == null || !worthwhile(job, kind, missing)) {
+                if (kind == null) {
                     break;
                 }
                 Room room = Room.of(kind.type);
-                missing -= room.cpu();
                 wanted.merge(kind, 1, Integer::sum);
                 int fits = Math.min(Math.min(tasks, room.count(job.room)), yardLeft(job, kind.yard, spread));
                 supply.add(new Supply(kind, room.minus(job.room.times(fits))));
@@ -224,15 +187,6 @@
                 && eligibility.allowsYard(job, kind.yard);
     }
 
-    /**
-     * Replicas stay, and are rented for at once. Other work may find room before a machine has booted, unless the fleet is
-     * too small for the demand, or the job has waited for so long already that there seems to be none for it.
-     */
-    private boolean worthwhile(Job job, Kind kind, double missing) {
-        return job.description.service() || missing > 0
-                || world.nowMicros - job.submittedMicros > kind.type.readyMicros();
-    }
-
     /** How many more tasks of the job may go to the zone, with what this review has given it there. */
     private static int yardLeft(Job job, String yard, Map<String, Integer> spread) {
         if (!job.description.apart()) {
