--- a/src/main/java/org/woadloom/leader/Election.java
+++ b/src/main/java/org/woadloom/leader/Election.java
@@ -33,6 +33,9 @@
         void elected(long term, long leaderStamp);
 
         void deposed(String reason);
+
+        /** Another leader than before is known, this node perhaps. */
+        void leaderSeen();
     }
 
     private enum Role { FOLLOWER, CANDIDATE, LEADER }
@@ -89,6 +92,7 @@
         LOG.info("a peer says that {} leads in term {}", leader, ofTerm);
         current = new LeaderKey(leader, ofTerm);
         stepDown(leader + " leads in term " + ofTerm);
+        loop.execute(listener::leaderSeen);
     }
 
     private void look() {
@@ -134,6 +138,7 @@
         highestTerm = Math.max(highestTerm, knownTerm());
         if (current != null && !current.equals(before)) {
             LOG.info("leader is {} in term {}", current.label(), current.term());
+            loop.execute(listener::leaderSeen);
         }
         if (role == Role.LEADER && (current == null || current.term() != term)) {
             if (current == null || current.term() > term) {
@@ -229,6 +234,7 @@
         LOG.info("elected in term {}", newTerm);
         renewLater(newTerm);
         listener.elected(newTerm, stamp);
+        loop.execute(listener::leaderSeen);
     }
 
     private void renewLater(long ofTerm) {
--- a/src/main/java/org/woadloom/node/Mailbox.java
+++ b/src/main/java/org/woadloom/node/Mailbox.java
@@ -60,7 +60,7 @@
     private long ids;
 
     /** One report on its way. */
-    private record Parcel(long id, String host, Object report, int size, Consumer<Response> answer) {
+    private record Parcel(long id, String host, Object report, int size, ParkedReports.Parked sent) {
     }
 
     Mailbox(Loop loop, StateClient state, ServiceSettings settings) {
@@ -71,15 +71,16 @@
     }
 
     /** Sends a worker's report; the answer is 503 if none comes while the worker waits. */
-    void carry(String host, byte[] report, Consumer<Response> answer) {
+    void carry(String host, ParkedReports.Parked report) {
+        Consumer<Response> answer = report.answer();
         Map<String, Object> map;
         try {
-            map = Cbor.decodeMap(report);
+            map = Cbor.decodeMap(report.body());
         } catch (WireException e) {
             answer.accept(Response.error(400, e.getMessage()));
             return;
         }
-        Parcel parcel = new Parcel(newId(), host, map, Cbor.jsonSize(map) + 40, answer);
+        Parcel parcel = new Parcel(newId(), host, map, Cbor.jsonSize(map) + 40, report);
         if (parcel.size + LETTER_BYTES > valueBytes) {
             answer.accept(Response.unavailable("the report is too long for the state service"));
             return;
@@ -87,7 +88,7 @@
         Parcel before = waiting.put(host, parcel);
         if (before != null) {
             outgoing.remove(before);
-            before.answer.accept(Response.unavailable("a newer report was sent"));
+            before.sent.answer().accept(Response.unavailable("a newer report was sent"));
         }
         loop.schedule(WAIT_MICROS, () -> {
             if (waiting.remove(host, parcel)) {
@@ -100,6 +101,15 @@
         flushSoon();
     }
 
+    /** Gives back what waits for an answer: it was meant for a leader that leads no more. */
+    List<ParkedReports.Parked> takeBack() {
+        List<ParkedReports.Parked> reports = new ArrayList<>();
+        waiting.values().forEach(parcel -> reports.add(parcel.sent));
+        waiting.clear();
+        outgoing.clear();
+        return reports;
+    }
+
     /** By the time of day, so that a restarted node takes no answer to its former self for its own. */
     private long newId() {
         return loop.wallMicros() * 16 + ++ids % 16;
@@ -208,7 +218,7 @@
                 Parcel mine = waiting.get(host);
                 if (mine != null && mine.id == id) {
                     waiting.remove(host);
-                    mine.answer.accept(Response.cbor(status.intValue(), Cbor.encode(parts.get(3))));
+                    mine.sent.answer().accept(Response.cbor(status.intValue(), Cbor.encode(parts.get(3))));
                 }
             }
         } catch (WireException | NumberFormatException e) {
--- a/src/main/java/org/woadloom/node/Node.java
+++ b/src/main/java/org/woadloom/node/Node.java
@@ -59,6 +59,7 @@
     private final Router router;
     private final PeerLinks peers;
     private final Mailbox mailbox;
+    private final ParkedReports parked;
     /** When each worker was last sent to the leader; one that comes back can't reach it. */
     private final Cache<String, Long> redirected = Caffeine.newBuilder().maximumSize(10_000)
             .executor(Runnable::run).build();
@@ -77,6 +78,8 @@
         queue = new CommandQueue(loop, core, metrics, MOST_REPORTS_WAITING, duties::execute);
         duties.attach(queue);
         mailbox = new Mailbox(loop, state, settings);
+        parked = new ParkedReports(loop, MOST_REPORTS_WAITING,
+                report -> route(report.body(), report.answer(), report.untilMicros()));
         election = new Election(loop, state, settings.label(), random, new Election.Listener() {
             @Override
             public void elected(long term, long leaderStamp) {
@@ -85,6 +88,13 @@
                 mailbox.lead(term, Node.this::decide);
             }
 
+            @Override
+            public void leaderSeen() {
+                // Reports that waited for a leader, or for one that is gone meanwhile, have somewhere to go now.
+                parked.release();
+                mailbox.takeBack().forEach(report -> route(report.body(), report.answer(), report.untilMicros()));
+            }
+
             @Override
             public void deposed(String reason) {
                 state.lead(false);
@@ -180,15 +190,22 @@
                 });
     }
 
-    /** Only the leader decides a report; the others send its worker there, or carry it. */
     private void report(byte[] body, Consumer<Response> answer) {
+        route(body, answer, loop.nowMicros() + ParkedReports.WAIT_MICROS);
+    }
+
+    /**
+     * Only the leader decides a report; the others send its worker there, or carry it. While there is no leader the report
+     * waits here: sent on, its worker would spend its lease on nodes that are gone or cut off.
+     */
+    private void route(byte[] body, Consumer<Response> answer, long untilMicros) {
         if (election.leads()) {
             decide(body, answer);
             return;
         }
         String leader = election.leader();
-        if (leader == null || leader.equals(settings.label())) {
-            answer.accept(Response.of(421, Map.of()));
+        if (leader == null || leader.equals(settings.label()) || peers.gone(leader)) {
+            parked.park(new ParkedReports.Parked(body, answer, untilMicros));
             return;
         }
         String host;
@@ -203,7 +220,7 @@
         boolean cameBack = before != null && now - before < RETURN_MICROS;
         if (!peers.reaches(leader) && (cameBack || !peers.refuses(leader))) {
             // Silence means a cut, which the worker would only find out by waiting for most of its lease.
-            mailbox.carry(host, body, answer);
+            mailbox.carry(host, new ParkedReports.Parked(body, answer, untilMicros));
             return;
         }
         if (cameBack) {
--- /dev/null
+++ b/src/main/java/org/woadloom/node/ParkedReports.java
@@ -0,0 +1,62 @@
+package org.woadloom.node;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.woadloom.http.Response;
+import org.woadloom.net.Loop;
+
+/** Reports that came while there was no leader. They go on their way once there is one, or are sent back in time. */
+final class ParkedReports {
+    /** Less than the four seconds for which a worker waits. */
+    static final long WAIT_MICROS = 3_000_000;
+
+    private final Loop loop;
+    private final int most;
+    private final Consumer<Parked> route;
+    private final Set<Entry> waiting = new LinkedHashSet<>();
+
+    /** One report, with the time until which it may wait for its answer. */
+    record Parked(byte[] body, Consumer<Response> answer, long untilMicros) {
+    }
+
+    /** Told apart by identity: two reports may have the same content. */
+    private static final class Entry {
+        final Parked report;
+
+        Entry(Parked report) {
+            this.report = report;
+        }
+    }
+
+    ParkedReports(Loop loop, int most, Consumer<Parked> route) {
+        this.loop = loop;
+        this.most = most;
+        this.route = route;
+    }
+
+    void park(Parked report) {
+        long left = report.untilMicros - loop.nowMicros();
+        if (left <= 0 || waiting.size() >= most) {
+            report.answer.accept(Response.of(421, Map.of()));
+            return;
+        }
+        Entry entry = new Entry(report);
+        waiting.add(entry);
+        loop.schedule(left, () -> {
+            if (waiting.remove(entry)) {
+                report.answer.accept(Response.of(421, Map.of()));
+            }
+        });
+    }
+
+    /** Sends all on their way. */
+    void release() {
+        List<Entry> all = new ArrayList<>(waiting);
+        waiting.clear();
+        all.forEach(entry -> route.accept(entry.report));
+    }
+}
--- a/src/main/java/org/woadloom/node/PeerLinks.java
+++ b/src/main/java/org/woadloom/node/PeerLinks.java
@@ -83,8 +83,24 @@
         return link.connected && loop.nowMicros() - link.heardMicros < REACH_MICROS;
     }
 
-    private boolean reachesAnother(String label) {
-        return labels.size() < 2 || labels.stream().anyMatch(other -> !other.equals(label) && reaches(other));
+    /**
+     * True if the peer takes no connections, and has most likely ended. Where others refuse as well and none can be reached,
+     * it is more likely the way between nodes that is closed.
+     */
+    boolean gone(String label) {
+        if (!refuses(label) || link(label).connected) {
+            return false;
+        }
+        boolean othersRefuse = false;
+        for (String other : labels) {
+            if (!other.equals(label)) {
+                if (reaches(other)) {
+                    return true;
+                }
+                othersRefuse |= refuses(other);
+            }
+        }
+        return !othersRefuse;
     }
 
     /** True if the peer's host says that it takes no connections: the way to it is open, for workers at least. */
@@ -154,9 +170,8 @@
         link.refusals++;
         // A leader that we could reach in its term, and that refuses now, is most likely dead. If it only refuses us,
         // it will lead again in a term in which we never reached it, and then its grant decides: no ping-pong.
-        // And where no other peer can be reached either, it is more likely the way between nodes that is closed.
         if (link.refusals >= REFUSALS && label.equals(election.leader())
-                && link.connectedInTerm == election.knownTerm() && reachesAnother(label)) {
+                && link.connectedInTerm == election.knownTerm() && gone(label)) {
             election.takeOverFrom(label);
         }
     }
