--- a/src/main/java/org/woadloom/core/World.java
+++ b/src/main/java/org/woadloom/core/World.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.woadloom.core.jobs.Arrivals;
 import org.woadloom.core.jobs.Job;
 import org.woadloom.core.machines.Machine;
 import org.woadloom.core.teams.TeamUse;
@@ -20,6 +21,7 @@
     public final Map<String, Job> jobs = new LinkedHashMap<>();
     public final Map<String, Machine> machines = new LinkedHashMap<>();
     public final Map<String, TeamUse> teams = new LinkedHashMap<>();
+    public final Arrivals arrivals = new Arrivals();
     public final Map<String, MachineType> types = new LinkedHashMap<>();
     /** Zones in which no machine of the ordinary kinds was to be had lately. */
     public final Set<String> scarceYards = new HashSet<>();
--- a/src/main/java/org/woadloom/core/capacity/Capacity.java
+++ b/src/main/java/org/woadloom/core/capacity/Capacity.java
@@ -259,7 +259,8 @@
                 used = used.plus(machine.used());
             }
         }
-        long headroom = (long) (used.cpu() * world.settings.operator().headroom());
+        // A small fleet must hold a job that is large for it, a large one the ups and downs of many.
+        long headroom = Math.max((long) (used.cpu() * world.settings.operator().headroom()), world.arrivals.large());
         List<Machine> idle = new ArrayList<>();
         for (Machine machine : world.machines.values()) {
             if (machine.leaving || machine.deleted || reservations.holdsAny(machine)) {
--- a/src/main/java/org/woadloom/core/jobs/JobTable.java
+++ b/src/main/java/org/woadloom/core/jobs/JobTable.java
@@ -114,6 +114,7 @@
         long age = Math.max(0, world.wallMicros - record.submittedWallMicros());
         Job job = new Job(record, stamp, team, world.nowMicros - age);
         world.jobs.put(job.uid(), job);
+        world.arrivals.add(job);
         return job;
     }
 
--- a/src/main/java/org/woadloom/core/placement/ServiceOrder.java
+++ b/src/main/java/org/woadloom/core/placement/ServiceOrder.java
@@ -20,16 +20,16 @@
     private static final int PATIENCE = 6;
 
     private final World world;
-    /** By class, within how many microseconds of its submission the users want a job done, soonest first. */
-    private final Map<String, List<Long>> targets = new HashMap<>();
+    /** By class, the longest time within which the users want its jobs done. */
+    private final Map<String, Long> targets = new HashMap<>();
 
-    private record Entry(Job job, int lateness, double turn) {
+    private record Entry(Job job, boolean late, double turn) {
     }
 
     private static final Comparator<Entry> ORDER = Comparator
             .comparing((Entry e) -> e.job.description.rank()).reversed()
             .thenComparing(e -> !e.job.guaranteed)
-            .thenComparingInt(Entry::lateness)
+            .thenComparing(Entry::late)
             .thenComparingDouble(Entry::turn)
             .thenComparing(e -> e.job.uid());
 
@@ -37,11 +37,9 @@
         this.world = world;
         for (Objective objective : world.settings.objectives()) {
             if (objective.kind().equals("finished") && objective.withinS() > 0) {
-                targets.computeIfAbsent(objective.jobclass(), c -> new ArrayList<>())
-                        .add((long) (objective.withinS() * 1e6));
+                targets.merge(objective.jobclass(), (long) (objective.withinS() * 1e6), Math::max);
             }
         }
-        targets.values().forEach(list -> list.sort(null));
     }
 
     public List<Job> sorted(List<Job> jobs) {
@@ -52,7 +50,7 @@
         List<Entry> entries = new ArrayList<>(jobs.size());
         for (Job job : jobs) {
             double alone = (double) job.room.cpu() * job.pending() / fleet * runtimeMicros(job);
-            entries.add(new Entry(job, lateness(job), job.submittedMicros + alone));
+            entries.add(new Entry(job, late(job), job.submittedMicros + alone));
         }
         entries.sort(ORDER);
         List<Job> sorted = new ArrayList<>(entries.size());
@@ -66,18 +64,11 @@
         return job.description.runtimeS() * 1e6;
     }
 
-    /** How many of the times that the users set for the job can't be kept any more, going by its owner's estimate. */
-    private int lateness(Job job) {
-        if (job.description.service()) {
-            return 0;
-        }
-        List<Long> times = job.description.dueS() != null ? List.of((long) (job.description.dueS() * 1e6))
-                : targets.getOrDefault(job.description.jobclass(), List.of());
+    /** True if the last of the times that the users set for the job can't be kept any more, by its owner's estimate. */
+    private boolean late(Job job) {
+        double time = job.description.dueS() != null ? job.description.dueS() * 1e6
+                : targets.getOrDefault(job.description.jobclass(), Long.MAX_VALUE);
         double age = world.nowMicros - job.submittedMicros;
-        int late = 0;
-        for (long time : times) {
-            late += age + runtimeMicros(job) > time ? 1 : 0;
-        }
-        return late > 0 && age > PATIENCE * (double) times.get(times.size() - 1) ? 0 : late;
+        return !job.description.service() && age + runtimeMicros(job) > time && age <= PATIENCE * time;
     }
 }
