--- a/src/main/java/org/woadloom/core/placement/Candidates.java
+++ b/src/main/java/org/woadloom/core/placement/Candidates.java
@@ -15,8 +15,8 @@
  * at again. That is as good as looking at all each time, since placing a task makes no machine but its own better.
  */
 final class Candidates {
-    /** What the price counts at most, against 100 for an image that is there. */
-    private static final double CHEAPEST = 150;
+    /** What the price counts at most, against 100 for an image that is there: to fetch one may take a start its aim. */
+    private static final double CHEAPEST = 50;
 
     private final Job job;
     private final Set<String> scarce;
