--- a/src/main/java/org/woadloom/node/Node.java
+++ b/src/main/java/org/woadloom/node/Node.java
@@ -44,7 +44,8 @@
 public final class Node {
     private static final Logger LOG = LoggerFactory.getLogger(Node.class);
     private static final long TYPES_RETRY_MICROS = 1_000_000;
-    private static final long LOADING_MICROS = 1_000_000;
+    /** A new leader reads hundreds of records with cold code; a worker waits four seconds for its answer. */
+    private static final long LOADING_MICROS = 2_500_000;
     private static final long LOADING_POLL_MICROS = 20_000;
     private static final long RETURN_MICROS = 12_000_000;
     private static final int MOST_REPORTS_WAITING = 2_000;
