--- a/src/main/java/org/woadloom/leader/Election.java
+++ b/src/main/java/org/woadloom/leader/Election.java
@@ -145,7 +145,7 @@
                 stepDown(current == null ? "the leader key is gone" : current.label() + " leads");
             }
         }
-        if (role == Role.FOLLOWER && (current == null || current.label().equals(label))) {
+        if (role == Role.FOLLOWER && vacant()) {
             // The key names this node from before a restart, or nobody.
             campaignSoon(current == null && before == null ? 0 : random.nextInt(30_000));
         }
@@ -154,12 +154,17 @@
     private void campaignSoon(long delayMicros) {
         int expected = ++campaign;
         loop.schedule(Math.max(1, delayMicros), () -> {
-            if (campaign == expected && role == Role.FOLLOWER) {
+            // A watch that was cut off tells of the old leader's end and of the new leader in one answer.
+            if (campaign == expected && role == Role.FOLLOWER && vacant()) {
                 campaign();
             }
         });
     }
 
+    private boolean vacant() {
+        return current == null || current.label().equals(label);
+    }
+
     /** Takes over although the leader key stands: its holder was seen to be gone. */
     public void takeOverFrom(String gone) {
         if (role == Role.FOLLOWER && current != null && current.label().equals(gone)) {
--- a/src/main/java/org/woadloom/node/Node.java
+++ b/src/main/java/org/woadloom/node/Node.java
@@ -61,12 +61,19 @@
     private final PeerLinks peers;
     private final Mailbox mailbox;
     private final ParkedReports parked;
-    /** When each worker was last sent to the leader; one that comes back can't reach it. */
-    private final Cache<String, Long> redirected = Caffeine.newBuilder().maximumSize(10_000)
+    /** Workers that came to this node instead of the leader's lately. */
+    private final Cache<String, Visit> visits = Caffeine.newBuilder().maximumSize(10_000)
             .executor(Runnable::run).build();
     private final NodeMetrics metrics = new NodeMetrics();
     private List<MachineType> types = List.of();
 
+    /**
+     * A worker's first report here is carried, which renews its lease, as it may be here because it can't reach the leader.
+     * Then it is sent on; one that comes back indeed can't.
+     */
+    private record Visit(long sinceMicros, boolean sentOn) {
+    }
+
     public Node(Loop loop, HttpTransport transport, PeerNet net, ServiceSettings settings,
             OperatorSettings operator, Random random) {
         this.loop = loop;
@@ -217,18 +224,23 @@
             return;
         }
         long now = loop.nowMicros();
-        Long before = redirected.getIfPresent(host);
-        boolean cameBack = before != null && now - before < RETURN_MICROS;
+        Visit before = visits.getIfPresent(host);
+        boolean here = before != null && now - before.sinceMicros < RETURN_MICROS;
+        boolean cameBack = here && before.sentOn;
         if (!peers.reaches(leader) && (cameBack || !peers.refuses(leader))) {
             // Silence means a cut, which the worker would only find out by waiting for most of its lease.
             mailbox.carry(host, new ParkedReports.Parked(body, answer, untilMicros));
             return;
         }
-        if (cameBack) {
+        boolean first = !here && peers.reaches(leader);
+        if (first) {
+            visits.put(host, new Visit(now, false));
+        }
+        if (first || cameBack) {
             peers.carry(leader, body, answer);
             return;
         }
-        redirected.put(host, now);
+        visits.put(host, new Visit(now, true));
         answer.accept(Response.of(421, Map.of("overseer", leader)));
     }
 
--- a/src/test/java/org/woadloom/sim/World.java
+++ b/src/test/java/org/woadloom/sim/World.java
@@ -39,6 +39,8 @@
     private boolean peersRefused;
     /** The node that the state service refuses, or -1. */
     private int refusedByState = -1;
+    /** The node that no worker can reach and that reaches none, or -1. */
+    private int cutFromWorkers = -1;
     /** How many of a thousand requests are held back, or lose their answer. */
     int trouble = 4;
     private int jobs;
@@ -250,7 +252,7 @@
     private void toWorker(Member member, String address, Map<String, Object> body, StateStandIn.Answer respond) {
         for (WorkerStandIn worker : cloud.machines.values()) {
             if (worker.addr.equals(address) && !worker.dead) {
-                if (cut && !worker.yard.equals(YARDS[member.index])) {
+                if (cut && !worker.yard.equals(YARDS[member.index]) || member.index == cutFromWorkers) {
                     // Held back, and executed when the zones can reach each other again.
                     loop.after(1_000_000, () -> toWorker(member, address, body, respond));
                     return;
@@ -278,7 +280,7 @@
             return;
         }
         WorkerStandIn worker = cloud.machines.get(from);
-        if (cut && worker != null && !worker.yard.equals(YARDS[index])) {
+        if (worker != null && (cut && !worker.yard.equals(YARDS[index]) || index == cutFromWorkers)) {
             loop.after(timeout, () -> callback.answer(HttpTransport.NO_RESPONSE, Map.of()));
             return;
         }
@@ -421,7 +423,7 @@
     }
 
     private void fault() {
-        switch (random.nextInt(12)) {
+        switch (random.nextInt(13)) {
             case 0, 1 -> restart(members[random.nextInt(NODES)]);
             case 2 -> {
                 for (Member member : members) {
@@ -448,6 +450,10 @@
                 refusedByState = random.nextInt(NODES);
                 loop.after(5_000_000 + random.nextInt(25_000_000), () -> refusedByState = -1);
             }
+            case 11 -> {
+                cutFromWorkers = random.nextInt(NODES);
+                loop.after(5_000_000 + random.nextInt(25_000_000), () -> cutFromWorkers = -1);
+            }
             case 8 -> {
                 cut = true;
                 loop.after(5_000_000 + random.nextInt(25_000_000), () -> cut = false);
