--- a/src/main/java/org/woadloom/core/capacity/Capacity.java
+++ b/src/main/java/org/woadloom/core/capacity/Capacity.java
@@ -175,6 +175,10 @@
             }
         }
         world.scarceYards.removeAll(open);
+        if (open.isEmpty()) {
+            // Where every zone is scarce there is no elsewhere.
+            world.scarceYards.clear();
+        }
     }
 
     private void refused(Kind kind) {
--- a/src/main/java/org/woadloom/core/jobs/Recorder.java
+++ b/src/main/java/org/woadloom/core/jobs/Recorder.java
@@ -14,11 +14,16 @@
     /** The parts of the state service's limit on changes that launches and outcomes may use before they are gathered. */
     private static final double LAUNCH_SHARE = 0.35;
     private static final double OUTCOME_SHARE = 0.25;
+    /** While less than this part of the limit was used in the last second, nothing waits for others. */
+    private static final double UNHURRIED_SHARE = 0.3;
 
     private final World world;
     private final JobTable table;
     /** How many jobs had something of each kind to write when last looked at. */
     private int launching;
+    /** Writes of about the last second. */
+    private double recent;
+    private long lastMicros;
     private int changing;
 
     public Recorder(World world, JobTable table) {
@@ -29,6 +34,7 @@
     public void emitWrites() {
         int launchesNow = 0;
         int changesNow = 0;
+        int written = 0;
         for (Job job : world.jobs.values()) {
             Recording recording = job.recording;
             if (recording.need == Recording.Need.LAUNCH) {
@@ -50,6 +56,7 @@
             if (recording.writing != 0 || !due(job)) {
                 continue;
             }
+            written++;
             if (job.over() && job.placements().isEmpty()) {
                 recording.finishing = true;
                 long version = recording.begin(world.nowMicros);
@@ -61,6 +68,8 @@
                 world.emit(new Effect.PutJob(job.toRecord(world.term, version), recording.stamp, urgent));
             }
         }
+        recent = recent * Math.exp((lastMicros - world.nowMicros) / 1e6) + written;
+        lastMicros = world.nowMicros;
         launching = launchesNow;
         changing = changesNow;
     }
@@ -81,6 +90,9 @@
     }
 
     private long spacing(int jobs, double share) {
+        if (recent < world.settings.writesPerSecond() * UNHURRIED_SHARE) {
+            return 0;
+        }
         return (long) (jobs * 1e6 / (world.settings.writesPerSecond() * share));
     }
 
