--- a/src/main/java/org/woadloom/node/LeaderDuties.java
+++ b/src/main/java/org/woadloom/node/LeaderDuties.java
@@ -8,7 +8,6 @@
 import org.slf4j.LoggerFactory;
 import org.woadloom.cloud.CloudClient;
 import org.woadloom.core.Command;
-import org.woadloom.core.Command.WriteOutcome;
 import org.woadloom.core.Effect;
 import org.woadloom.leader.RecordWriter;
 import org.woadloom.net.Loop;
--- a/src/main/java/org/woadloom/node/Node.java
+++ b/src/main/java/org/woadloom/node/Node.java
@@ -211,11 +211,6 @@
             decide(body, answer);
             return;
         }
-        String leader = election.leader();
-        if (leader == null || leader.equals(settings.label()) || peers.gone(leader)) {
-            parked.park(new ParkedReports.Parked(body, answer, untilMicros));
-            return;
-        }
         String host;
         try {
             host = new Fields(Cbor.decodeMap(body)).text("host");
@@ -223,6 +218,11 @@
             answer.accept(Response.error(400, e.getMessage()));
             return;
         }
+        String leader = election.leader();
+        if (leader == null || leader.equals(settings.label()) || peers.gone(leader)) {
+            parked.park(new ParkedReports.Parked(body, answer, untilMicros));
+            return;
+        }
         long now = loop.nowMicros();
         Visit before = visits.getIfPresent(host);
         boolean here = before != null && now - before.sinceMicros < RETURN_MICROS;
--- a/src/main/java/org/woadloom/peer/XnioPeerNet.java
+++ b/src/main/java/org/woadloom/peer/XnioPeerNet.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.ConnectException;
-import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.HashMap;
