--- a/src/main/java/org/woadloom/cli/CheckCommand.java
+++ b/src/main/java/org/woadloom/cli/CheckCommand.java
@@ -40,7 +40,7 @@
                 String.join(", ", service.zones()), service.stateAddress(), service.cloudAddress());
         System.out.printf("at most %d workers and users connected at a time (fd_limit), %d tasks of a job placed at once"
                 + " where each has a machine of its own (value_kb)%n", Server.mostInbound(service),
-                RecordSize.tasksApart(service.state().valueBytes()));
+                RecordSize.tasksApart(service.state().leastValueBytes()));
         System.out.print(operator.describe());
         return DONE;
     }
--- a/src/main/java/org/woadloom/core/Command.java
+++ b/src/main/java/org/woadloom/core/Command.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.woadloom.state.JobRecord;
 import org.woadloom.state.MachineRecord;
+import org.woadloom.state.RecordFormat;
 import org.woadloom.wire.ListedMachine;
 import org.woadloom.wire.MachineType;
 import org.woadloom.wire.WorkerReport;
@@ -36,6 +37,17 @@
     record JobUnreadable(String uid) implements Command {
     }
 
+    /** What the store says of a job that others wait for. */
+    enum Standing { OPEN, DONE, CANCELLED, NOT_FOUND, UNREADABLE }
+
+    /** The answer to {@link Effect.FindJob}, with the time at which the job was over, 0 where that is not known. */
+    record JobFound(String uid, Standing standing, long overWallMicros) implements Command {
+    }
+
+    /** What the state service takes, and how records are written, from now on. */
+    record StorageSeen(int valueBytes, RecordFormat format) implements Command {
+    }
+
     /** A machine's record as read after a write without a clear outcome; null where there is none. */
     record MachineSeen(String host, MachineRecord record, long stamp) implements Command {
     }
@@ -51,7 +63,8 @@
     record DirectResult(long sendId, String host, int status, WorkerReport report) implements Command {
     }
 
-    enum WriteOutcome { WRITTEN, CONFLICT, UNKNOWN, NOT_WRITTEN }
+    /** What became of a write; one that is too large for the state service was not executed and never will be. */
+    enum WriteOutcome { WRITTEN, CONFLICT, UNKNOWN, NOT_WRITTEN, TOO_LARGE }
 
     record JobWritten(String uid, long version, WriteOutcome outcome, long stamp) implements Command {
     }
--- a/src/main/java/org/woadloom/core/Core.java
+++ b/src/main/java/org/woadloom/core/Core.java
@@ -19,6 +19,7 @@
 import org.woadloom.core.reservation.Reservation;
 import org.woadloom.core.reservation.Reservations;
 import org.woadloom.core.teams.Guarantees;
+import org.woadloom.state.RecordFormat;
 import org.woadloom.wire.MachineType;
 
 /**
@@ -32,6 +33,8 @@
 
     private final CoreSettings settings;
     private List<MachineType> types = List.of();
+    private int valueBytes;
+    private RecordFormat format = RecordFormat.PLAIN;
     private Leadership leadership;
 
     /** The parts that exist only while this node leads. */
@@ -78,6 +81,11 @@
         return leadership == null ? 0 : leadership.world.jobs.size();
     }
 
+    /** Jobs that wait for others. */
+    public int waiting() {
+        return leadership == null ? 0 : leadership.world.pipelines.waiting();
+    }
+
     public int machines() {
         return leadership == null ? 0 : leadership.world.machines.size();
     }
@@ -94,6 +102,14 @@
                 takeOver(nowMicros, wallMicros, lead);
             } else if (command instanceof Command.StepDown) {
                 leadership = null;
+            } else if (command instanceof Command.StorageSeen seen) {
+                valueBytes = seen.valueBytes();
+                format = seen.format();
+                if (leadership != null) {
+                    leadership.world.valueBytes = valueBytes;
+                    leadership.world.format = format;
+                    leadership.world.placementWorthTrying = true;
+                }
             } else if (command instanceof Command.TypesSeen seen) {
                 types = seen.types();
                 if (leadership != null) {
@@ -115,7 +131,7 @@
     }
 
     private void takeOver(long nowMicros, long wallMicros, Command.Lead lead) {
-        World world = new World(settings, lead.term(), nowMicros, wallMicros);
+        World world = new World(settings, valueBytes, format, lead.term(), nowMicros, wallMicros);
         leadership = new Leadership(world);
         for (Command.StoredMachine machine : lead.machines()) {
             leadership.machines.load(machine);
@@ -139,6 +155,8 @@
             l.jobs.seen(seen.record(), seen.stamp());
         } else if (command instanceof Command.JobMissing missing) {
             l.jobs.missing(missing.uid());
+        } else if (command instanceof Command.JobFound found) {
+            l.world.pipelines.found(found);
         } else if (command instanceof Command.JobUnreadable unreadable) {
             l.recorder.readFailed(unreadable.uid());
         } else if (command instanceof Command.MachineWritten written) {
@@ -170,6 +188,7 @@
             l.machines.forget();
             l.reports.forget();
         }
+        world.pipelines.review();
         if (world.placementWorthTrying || world.nowMicros >= l.searchMicros) {
             world.placementWorthTrying = false;
             l.searchMicros = world.nowMicros + SEARCH_MICROS;
--- a/src/main/java/org/woadloom/core/CoreSettings.java
+++ b/src/main/java/org/woadloom/core/CoreSettings.java
@@ -7,12 +7,12 @@
 import org.woadloom.settings.Team;
 
 /** What the core is told of the deployment. */
-public record CoreSettings(List<Team> teams, List<Objective> objectives, long reportMicros, long leaseMicros, long cancelMicros, int valueBytes,
+public record CoreSettings(List<Team> teams, List<Objective> objectives, long reportMicros, long leaseMicros, long cancelMicros,
         double writesPerSecond, long listLagMicros, OperatorSettings operator) {
 
     public static CoreSettings of(ServiceSettings settings, OperatorSettings operator) {
         return new CoreSettings(settings.teams(), settings.objectives(), settings.workers().reportMicros(), settings.workers().leaseMicros(),
-                settings.workers().cancelMicros(), settings.state().valueBytes(), settings.state().writeRps(),
+                settings.workers().cancelMicros(), settings.state().writeRps(),
                 settings.cloud().listLagMicros(),
                 operator);
     }
--- a/src/main/java/org/woadloom/core/Effect.java
+++ b/src/main/java/org/woadloom/core/Effect.java
@@ -26,6 +26,10 @@
     record ReadJob(String uid) implements Effect {
     }
 
+    /** Say what the store knows of a job that others wait for: its record, or its final state. */
+    record FindJob(String uid) implements Effect {
+    }
+
     record PutMachine(MachineRecord record, long stamp) implements Effect {
     }
 
--- a/src/main/java/org/woadloom/core/World.java
+++ b/src/main/java/org/woadloom/core/World.java
@@ -8,9 +8,11 @@
 import java.util.Set;
 import org.woadloom.core.jobs.Arrivals;
 import org.woadloom.core.jobs.Job;
+import org.woadloom.core.jobs.Pipelines;
 import org.woadloom.core.machines.Machine;
 import org.woadloom.core.teams.TeamUse;
 import org.woadloom.settings.Team;
+import org.woadloom.state.RecordFormat;
 import org.woadloom.wire.MachineType;
 
 /** Everything one term of leadership knows, and the effects of the step that is under way. */
@@ -22,6 +24,10 @@
     public final Map<String, Machine> machines = new LinkedHashMap<>();
     public final Map<String, TeamUse> teams = new LinkedHashMap<>();
     public final Arrivals arrivals = new Arrivals();
+    public final Pipelines pipelines = new Pipelines(this);
+    /** The largest value that the state service takes, and the format of the records that must fit. */
+    public int valueBytes;
+    public RecordFormat format;
     public final Map<String, MachineType> types = new LinkedHashMap<>();
     /** Zones in which no machine of the ordinary kinds was to be had lately. */
     public final Set<String> scarceYards = new HashSet<>();
@@ -34,7 +40,9 @@
     private long sends;
     private long claims;
 
-    World(CoreSettings settings, long term, long nowMicros, long wallMicros) {
+    World(CoreSettings settings, int valueBytes, RecordFormat format, long term, long nowMicros, long wallMicros) {
+        this.valueBytes = valueBytes;
+        this.format = format;
         this.settings = settings;
         this.term = term;
         this.startedMicros = nowMicros;
--- a/src/main/java/org/woadloom/core/jobs/Job.java
+++ b/src/main/java/org/woadloom/core/jobs/Job.java
@@ -13,7 +13,9 @@
 import org.woadloom.core.placement.Room;
 import org.woadloom.core.teams.TeamUse;
 import org.woadloom.state.JobRecord;
+import org.woadloom.wire.Cbor;
 import org.woadloom.wire.JobDescription;
+import org.woadloom.wire.Rank;
 import org.woadloom.wire.TaskReport;
 
 /** A job that is not over, or that may still have tasks on machines. */
@@ -23,6 +25,17 @@
     public final TeamUse team;
     public final long submittedWallMicros;
     public final long submittedMicros;
+    /** From when on the job's times count, its deadline apart: its submission, or when the last job before it was done. */
+    private long sinceMicros;
+    /** When the last job before it was done by the time of day, 0 where it waits still or waited for none. */
+    private long readyWallMicros;
+    /** Must not start: a job before it is not known to be done. */
+    private boolean waiting;
+    /** Its own rank, or a higher one of a job that needs it. */
+    private Rank rank;
+    /** By when it has to be done for itself, or for the jobs that need it; {@link Long#MAX_VALUE} for no such time. */
+    private long dueMicros;
+    private int descriptionSize;
     /** Tasks that are done: a subset of this may not be durable yet. */
     public final BitSet done;
     public final Recording recording;
@@ -50,6 +63,50 @@
         this.taken.or(record.done());
         this.cancelled = record.cancelled();
         this.recording = new Recording(stamp);
+        this.readyWallMicros = record.readyWallMicros();
+        this.waiting = !record.description().awaits().isEmpty();
+        this.sinceMicros = readyWallMicros == 0 ? submittedMicros
+                : submittedMicros + Math.max(0, readyWallMicros - submittedWallMicros);
+        this.rank = description.rank();
+        this.dueMicros = ownDueMicros();
+    }
+
+    long ownDueMicros() {
+        return description.dueS() == null ? Long.MAX_VALUE : submittedMicros + (long) (description.dueS() * 1e6);
+    }
+
+    /** True while the job must not start: it is queued, holds no room and asks for none. */
+    public boolean waiting() {
+        return waiting;
+    }
+
+    /** Every job before it is done, durably. */
+    void ready(long nowMicros, long wallMicros) {
+        waiting = false;
+        sinceMicros = Math.max(submittedMicros, nowMicros);
+        readyWallMicros = wallMicros;
+    }
+
+    public long sinceMicros() {
+        return sinceMicros;
+    }
+
+    public Rank rank() {
+        return rank;
+    }
+
+    public long dueMicros() {
+        return dueMicros;
+    }
+
+    /** What the jobs that need this one ask of it. */
+    void inherit(Rank highest, long earliestMicros) {
+        Rank before = rank;
+        rank = highest.compareTo(description.rank()) > 0 ? highest : description.rank();
+        dueMicros = Math.min(ownDueMicros(), earliestMicros);
+        if (before != rank) {
+            placements.values().forEach(placement -> placement.machine.reranked(placement, before));
+        }
     }
 
     public String uid() {
@@ -60,6 +117,14 @@
         return !description.service() && done.cardinality() == description.shards();
     }
 
+    /** How long the description is in the compact format, about: it is in every record of the job. */
+    public int descriptionSize() {
+        if (descriptionSize == 0) {
+            descriptionSize = Cbor.jsonSize(description.released().toMap());
+        }
+        return descriptionSize;
+    }
+
     /** True when nothing is left to run: only tasks that must go may still be somewhere. */
     public boolean over() {
         return finished || cancelled || allDone();
@@ -88,7 +153,7 @@
     }
 
     public int pending() {
-        return over() ? 0 : description.shards() - taken.cardinality();
+        return over() || waiting ? 0 : description.shards() - taken.cardinality();
     }
 
     public int nextPending(int from) {
@@ -97,6 +162,9 @@
     }
 
     public void add(Placement placement) {
+        if (waiting) {
+            throw new IllegalStateException("job " + uid() + " waits for others");
+        }
         placements.put(placement.index, placement);
         taken.set(placement.index);
         perYard.merge(placement.machine.yard, 1, Integer::sum);
@@ -154,7 +222,7 @@
             groups.computeIfAbsent(p.machine.host + " " + p.attempt,
                     k -> new JobRecord.Placed(p.machine.host, p.attempt, new BitSet())).tasks().set(p.index);
         }
-        return new JobRecord(description, submittedWallMicros, cancelled, (BitSet) done.clone(),
+        return new JobRecord(waiting ? description : description.released(), submittedWallMicros, readyWallMicros, cancelled, (BitSet) done.clone(),
                 List.copyOf(groups.values()), running(), term, version);
     }
 }
--- a/src/main/java/org/woadloom/core/jobs/JobTable.java
+++ b/src/main/java/org/woadloom/core/jobs/JobTable.java
@@ -69,6 +69,7 @@
             // One of this term's own writes: it is durable, whatever became of the answer.
             recording.durable = record.version();
             job.release();
+            doneDurably(job);
         }
         recording.stamp = stamp;
         if (record.cancelled() && !job.cancelled) {
@@ -88,20 +89,24 @@
     public void missing(String uid) {
         Job job = world.jobs.get(uid);
         if (job != null && job.recording.reading && job.recording.readSent) {
-            finished(job);
+            // A write of ours without an answer, most likely; but what waits for the job must not start on a guess.
+            finished(job, false);
         }
     }
 
     /**
      * The job's final state is in the store. A late hint can bring back a job that is over; what was planned for it then
      * was never launched, as its record can't be written, and must not go on counting.
+     *
+     * @param known false if only the store knows whether it was done or cancelled
      */
-    public void finished(Job job) {
+    public void finished(Job job, boolean known) {
         for (Placement placement : new ArrayList<>(job.placements())) {
             job.remove(placement);
         }
         job.finished = true;
         world.jobs.remove(job.uid());
+        world.pipelines.gone(job, known);
         world.placementWorthTrying = true;
     }
 
@@ -114,13 +119,27 @@
         long age = Math.max(0, world.wallMicros - record.submittedWallMicros());
         Job job = new Job(record, stamp, team, world.nowMicros - age);
         world.jobs.put(job.uid(), job);
-        world.arrivals.add(job);
+        if (record.allDone()) {
+            job.recording.readAsDone();
+        }
+        if (!job.waiting()) {
+            world.arrivals.add(job);
+        }
+        world.pipelines.add(job);
         return job;
     }
 
+    /** To be called when a write was acknowledged: what waits for a job that is done may go on. */
+    void doneDurably(Job job) {
+        if (job.recording.doneDurably()) {
+            world.pipelines.done(job.uid(), world.wallMicros);
+        }
+    }
+
     private void cancel(Job job) {
         job.cancelled = true;
         world.note("job " + job.uid() + " cancelled");
+        world.pipelines.cancelled(job.uid());
         halt(job);
         if (job.placements().isEmpty()) {
             job.recording.needs(Recording.Need.LAUNCH);
--- a/src/main/java/org/woadloom/core/jobs/Recorder.java
+++ b/src/main/java/org/woadloom/core/jobs/Recorder.java
@@ -1,5 +1,6 @@
 package org.woadloom.core.jobs;
 
+import java.util.ArrayList;
 import org.woadloom.core.Command;
 import org.woadloom.core.Effect;
 import org.woadloom.core.World;
@@ -10,6 +11,7 @@
     private static final long PHASE_MICROS = 1_000_000;
     private static final long OUTCOME_MICROS = 250_000;
     private static final long RETRY_MICROS = 150_000;
+    private static final long TOO_LARGE_MICROS = 1_000_000;
 
     /** The parts of the state service's limit on changes that launches and outcomes may use before they are gathered. */
     private static final double LAUNCH_SHARE = 0.35;
@@ -59,12 +61,13 @@
             written++;
             if (job.over() && job.placements().isEmpty()) {
                 recording.finishing = true;
-                long version = recording.begin(world.nowMicros);
+                long version = recording.begin(world.nowMicros, job.allDone());
                 world.emit(new Effect.FinishJob(
-                        new FinalRecord(job.uid(), job.cancelled, job.done.cardinality()), recording.stamp, version));
+                        new FinalRecord(job.uid(), job.cancelled, job.done.cardinality(), world.wallMicros,
+                                job.description.service()), recording.stamp, version));
             } else {
                 boolean urgent = recording.need == Recording.Need.LAUNCH;
-                long version = recording.begin(world.nowMicros);
+                long version = recording.begin(world.nowMicros, job.allDone());
                 world.emit(new Effect.PutJob(job.toRecord(world.term, version), recording.stamp, urgent));
             }
         }
@@ -107,9 +110,10 @@
                 boolean finishing = recording.finishing && recording.writing == result.version();
                 recording.confirmed(result.version(), result.stamp());
                 job.release();
+                table.doneDurably(job);
                 if (finishing) {
                     world.note("job " + job.uid() + (job.cancelled ? " cancelled and gone" : " done"));
-                    table.finished(job);
+                    table.finished(job, true);
                 }
             }
             case CONFLICT, UNKNOWN -> {
@@ -119,17 +123,38 @@
                     recording.readSent = false;
                 }
             }
+            case TOO_LARGE -> {
+                if (recording.writing == result.version()) {
+                    tooLarge(job);
+                }
+            }
             case NOT_WRITTEN -> {
                 if (recording.writing == result.version()) {
-                    recording.writing = 0;
-                    recording.finishing = false;
-                    recording.needs(Recording.Need.LAUNCH);
-                    recording.retryMicros = world.nowMicros + RETRY_MICROS;
+                    recording.refused(world.nowMicros + RETRY_MICROS);
                 }
             }
         }
     }
 
+    /**
+     * The record as it is can't be stored. What was planned for it and never sent is taken back; what else it should say
+     * waits until tasks have ended and it is shorter: the stored one names at least as much as there is.
+     */
+    private void tooLarge(Job job) {
+        job.recording.refused(world.nowMicros + TOO_LARGE_MICROS);
+        int planned = 0;
+        for (Placement placement : new ArrayList<>(job.placements())) {
+            if (placement.stage == Placement.Stage.PLANNED) {
+                job.remove(placement);
+                planned++;
+            }
+        }
+        job.notBeforeMicros = Math.max(job.notBeforeMicros, world.nowMicros + TOO_LARGE_MICROS);
+        world.placementWorthTrying = true;
+        world.note("the record of job " + job.uid() + " is too large for the state service: " + planned
+                + " tasks wait for others to end");
+    }
+
     /** A read that got no answer is sent again. */
     public void readFailed(String uid) {
         Job job = world.jobs.get(uid);
--- a/src/main/java/org/woadloom/core/jobs/Recording.java
+++ b/src/main/java/org/woadloom/core/jobs/Recording.java
@@ -9,10 +9,13 @@
     public long stamp;
     /** Versions up to this one are durable. */
     public long durable;
+    /** The first version in which all tasks are done, 0 while there is none. */
+    private long doneVersion;
     /** The version that is being written, 0 for none. */
     public long writing;
     private long next = 1;
     public Need need = Need.NONE;
+    private boolean readDone;
     /** The answer to a write was lost or it met a conflict: the record must be read before the next write. */
     public boolean reading;
     public boolean readSent;
@@ -36,13 +39,34 @@
         }
     }
 
-    public long begin(long nowMicros) {
+    public long begin(long nowMicros, boolean allDone) {
         writing = next++;
+        if (allDone && doneVersion == 0) {
+            doneVersion = writing;
+        }
         need = Need.NONE;
         lastWriteMicros = nowMicros;
         return writing;
     }
 
+    /** The write was not executed; what it held is still to be written, not before the given time. */
+    void refused(long againMicros) {
+        writing = 0;
+        finishing = false;
+        needs(Need.LAUNCH);
+        retryMicros = againMicros;
+    }
+
+    /** The record as it was read says that all is done. */
+    void readAsDone() {
+        readDone = true;
+    }
+
+    /** True once the store says that all tasks are done. */
+    boolean doneDurably() {
+        return readDone || doneVersion > 0 && durable >= doneVersion;
+    }
+
     public void confirmed(long version, long newStamp) {
         durable = Math.max(durable, version);
         stamp = Math.max(stamp, newStamp);
--- a/src/main/java/org/woadloom/core/machines/Machine.java
+++ b/src/main/java/org/woadloom/core/machines/Machine.java
@@ -140,7 +140,7 @@
         if (placement.halting()) {
             halting++;
         } else {
-            byRank[placement.job.description.rank().ordinal()]++;
+            byRank[placement.job.rank().ordinal()]++;
         }
     }
 
@@ -151,7 +151,7 @@
             if (placement.halting()) {
                 halting--;
             } else {
-                byRank[placement.job.description.rank().ordinal()]--;
+                byRank[placement.job.rank().ordinal()]--;
             }
         }
     }
@@ -204,11 +204,19 @@
     public void halted(Placement placement) {
         attention = true;
         if (placements.get(placement.task()) == placement) {
-            byRank[placement.job.description.rank().ordinal()]--;
+            byRank[placement.job.rank().ordinal()]--;
             halting++;
         }
     }
 
+    /** To be called when the rank of a task's job has changed. */
+    public void reranked(Placement placement, Rank before) {
+        if (placements.get(placement.task()) == placement && !placement.halting()) {
+            byRank[before.ordinal()]--;
+            byRank[placement.job.rank().ordinal()]++;
+        }
+    }
+
     /** True if room will come free here without anything more being stopped. */
     public boolean hasHalting() {
         return halting > 0;
--- a/src/main/java/org/woadloom/core/machines/MachineTable.java
+++ b/src/main/java/org/woadloom/core/machines/MachineTable.java
@@ -129,7 +129,7 @@
                 world.placementWorthTrying = true;
             }
             case CONFLICT, UNKNOWN -> machine.reading = true;
-            case NOT_WRITTEN -> machine.retryMicros = world.nowMicros + RETRY_MICROS;
+            case NOT_WRITTEN, TOO_LARGE -> machine.retryMicros = world.nowMicros + RETRY_MICROS;
         }
     }
 
--- a/src/main/java/org/woadloom/core/placement/Placer.java
+++ b/src/main/java/org/woadloom/core/placement/Placer.java
@@ -72,14 +72,15 @@
 
     /** Returns true if the machines have no room for another task of the job. */
     private boolean placeJob(Job job, long attempt, List<Machine> open) {
-        RecordSize size = new RecordSize(job, world.settings.valueBytes());
-        if (!size.takesMore() || job.description.gang() && !gangFits(job, size.mostMore())) {
+        RecordSize size = RecordSize.of(job, world.valueBytes, world.format);
+        if (!size.takesMore(job.nextPending(0))
+                || job.description.gang() && !gangFits(job, size.mostMore(job.nextPending(0), job.pending()))) {
             return false;
         }
         Candidates candidates = new Candidates(job, open, world.scarceYards, eligibility, reservations);
         int placed = 0;
         boolean full = false;
-        for (int index = job.nextPending(0); index >= 0 && size.takesMore();
+        for (int index = job.nextPending(0); index >= 0 && size.takesMore(index);
                 index = job.nextPending(index + 1)) {
             Machine machine = candidates.next();
             if (machine == null) {
@@ -90,7 +91,7 @@
                     world.nowMicros);
             reservations.draw(placement);
             job.add(placement);
-            size.add(machine);
+            size.add(index, machine);
             job.recording.needs(Recording.Need.LAUNCH);
             candidates.placed();
             placed++;
--- a/src/main/java/org/woadloom/core/placement/Preemption.java
+++ b/src/main/java/org/woadloom/core/placement/Preemption.java
@@ -40,7 +40,7 @@
     /** A kind of search that found too little on all machines in this pass. */
     private record Hopeless(Shape shape, Rank rank, TeamUse borrowersGiveTo) {
         boolean covers(Job job, boolean fromBorrowers) {
-            return rank.compareTo(job.description.rank()) >= 0
+            return rank.compareTo(job.rank()) >= 0
                     && (!fromBorrowers || borrowersGiveTo == job.team) && shape.covers(job);
         }
     }
@@ -62,7 +62,7 @@
             if (hopeless.stream().noneMatch(known -> known.covers(job, fromBorrowers))) {
                 wanted = free(job, wanted, fromBorrowers);
                 if (wanted > 0 && Shape.plain(job)) {
-                    hopeless.add(new Hopeless(Shape.of(job), job.description.rank(),
+                    hopeless.add(new Hopeless(Shape.of(job), job.rank(),
                             fromBorrowers ? job.team : null));
                 }
             }
@@ -88,7 +88,7 @@
             if (missing <= 0) {
                 break;
             }
-            if ((machine.hasHalting() || machine.hasBelow(job.description.rank())
+            if ((machine.hasHalting() || machine.hasBelow(job.rank())
                     || fromBorrowers && !machine.empty()) && machine.size().holds(job.room)
                     && eligibility.takesTasks(machine) && eligibility.allows(job, machine)
                     && !job.failedOn.contains(machine.host)) {
@@ -181,7 +181,7 @@
             }
         }
         // The lowest rank first, then borrowers, then what can save, then what has run least.
-        victims.sort(Comparator.comparing((Placement p) -> p.job.description.rank())
+        victims.sort(Comparator.comparing((Placement p) -> p.job.rank())
                 .thenComparing(p -> p.job.guaranteed)
                 .thenComparing(p -> p.job.description.snapshotEveryS() == 0)
                 .thenComparingLong(p -> -p.placedMicros));
@@ -219,7 +219,7 @@
      */
     private boolean mayStop(Job job, Placement placement) {
         Job other = placement.job;
-        int order = other.description.rank().compareTo(job.description.rank());
+        int order = other.rank().compareTo(job.rank());
         if (order != 0) {
             return order < 0;
         }
--- a/src/main/java/org/woadloom/core/placement/RecordSize.java
+++ b/src/main/java/org/woadloom/core/placement/RecordSize.java
@@ -5,54 +5,151 @@
 import org.woadloom.core.jobs.Job;
 import org.woadloom.core.jobs.Placement;
 import org.woadloom.core.machines.Machine;
+import org.woadloom.state.Progress;
+import org.woadloom.state.RecordFormat;
 
 /**
  * An upper bound of what a job's one record may grow to, so that a job too large for it runs in waves: what is placed at
  * once must fit the state service's values, however its tasks end.
  */
-public final class RecordSize {
-    private static final int FIXED = 900;
-    /** A machine's name, an attempt and what is around them. */
-    private static final int PER_GROUP = 56;
-    /** A task's number twice, as a range by itself; done or placed, every task may come to stand alone. */
-    private static final int PER_TASK = 14;
-
+public abstract sealed class RecordSize {
     private final int limit;
     private final Set<Machine> machines = new HashSet<>();
-    private int size;
 
     private record Group(Machine machine, long attempt) {
     }
 
-    RecordSize(Job job, int limit) {
+    private RecordSize(int limit) {
         this.limit = limit;
+    }
+
+    static RecordSize of(Job job, int limit, RecordFormat format) {
+        return format == RecordFormat.COMPACT ? new Compact(job, limit) : new Plain(job, limit);
+    }
+
+    /** How many tasks of a job a value of this size holds when each is on a machine of its own. */
+    public static int tasksApart(int valueBytes) {
+        Compact size = new Compact(valueBytes, TYPICAL_DESCRIPTION);
+        return size.mostMore(0, valueBytes);
+    }
+
+    private static final int TYPICAL_DESCRIPTION = 420;
+
+    /** How large the record may become with so many more tasks, the last of that number, on so many more machines. */
+    abstract int with(int tasks, int lastIndex, int machines);
+
+    abstract void placed(int index, boolean newMachine);
+
+    private static int groups(Job job) {
         Set<Group> groups = new HashSet<>();
         for (Placement placement : job.placements()) {
             groups.add(new Group(placement.machine, placement.attempt));
         }
-        int doneRanges = 0;
-        for (int i = job.done.nextSetBit(0); i >= 0; i = job.done.nextSetBit(job.done.nextClearBit(i))) {
-            doneRanges++;
-        }
-        size = FIXED + PER_GROUP * groups.size() + PER_TASK * (job.placements().size() + doneRanges);
+        return groups.size();
     }
 
-    /** How many tasks of a job a value of this size holds when each is on a machine of its own. */
-    public static int tasksApart(int valueBytes) {
-        return Math.max(0, (valueBytes - FIXED) / (PER_GROUP + PER_TASK));
+    boolean takesMore(int index) {
+        return with(1, index, 1) <= limit;
     }
 
-    boolean takesMore() {
-        return size + PER_GROUP + PER_TASK <= limit;
+    /** For how many more tasks from the given one on there is room, wherever they go; no more than wanted. */
+    int mostMore(int index, int wanted) {
+        int most = 0;
+        int tooMany = wanted + 1;
+        while (tooMany - most > 1) {
+            int middle = (most + tooMany) / 2;
+            if (with(middle, index + middle - 1, middle) <= limit) {
+                most = middle;
+            } else {
+                tooMany = middle;
+            }
+        }
+        return most;
     }
 
-    /** For how many more tasks there is room, wherever they go. */
-    int mostMore() {
-        return Math.max(0, (limit - size) / (PER_GROUP + PER_TASK));
+    /** One more task is placed there, under this pass's attempt. */
+    void add(int index, Machine machine) {
+        placed(index, machines.add(machine));
     }
 
-    /** One more task is placed there, under this pass's attempt. */
-    void add(Machine machine) {
-        size += PER_TASK + (machines.add(machine) ? PER_GROUP : 0);
+    /** Of {@link org.woadloom.state.JobRecord}s with {@link Progress} as text. */
+    private static final class Compact extends RecordSize {
+        /** What is around the description and the progress. */
+        private static final int FIXED = 260;
+        /** The difference of two machines' numbers, and which attempt. */
+        private static final int PER_GROUP = 3;
+        private static final int PER_GROUP_OF_MANY = 4;
+        private static final int FEW_ATTEMPTS = 127;
+        private static final int PER_ATTEMPT = 4;
+
+        private final int description;
+        private int front;
+        private int end;
+        private int groups;
+        private int attempts;
+
+        Compact(int limit, int description) {
+            super(limit);
+            this.description = description;
+        }
+
+        Compact(Job job, int limit) {
+            this(limit, job.descriptionSize());
+            front = job.done.nextClearBit(0);
+            end = job.done.length();
+            Set<Long> distinct = new HashSet<>();
+            for (Placement placement : job.placements()) {
+                front = Math.min(front, placement.index);
+                end = Math.max(end, placement.index + 1);
+                distinct.add(placement.attempt);
+            }
+            attempts = distinct.size() + 1;
+            groups = groups(job);
+        }
+
+        @Override
+        int with(int tasks, int lastIndex, int machines) {
+            int all = groups + machines;
+            int window = Math.max(end, lastIndex + 1) - front;
+            int bytes = all * (attempts > FEW_ATTEMPTS ? PER_GROUP_OF_MANY : PER_GROUP) + attempts * PER_ATTEMPT
+                    + (window * Progress.bits(all) + 7) / 8;
+            return FIXED + description + (bytes * 4 + 2) / 3;
+        }
+
+        @Override
+        void placed(int index, boolean newMachine) {
+            end = Math.max(end, index + 1);
+            groups += newMachine ? 1 : 0;
+        }
+    }
+
+    /** Of version 1's records, while a node may run it. */
+    private static final class Plain extends RecordSize {
+        private static final int FIXED = 900;
+        /** A machine's name, an attempt and what is around them. */
+        private static final int PER_GROUP = 56;
+        /** A task's number twice, as a range by itself; done or placed, every task may come to stand alone. */
+        private static final int PER_TASK = 14;
+
+        private int size;
+
+        Plain(Job job, int limit) {
+            super(limit);
+            int doneRanges = 0;
+            for (int i = job.done.nextSetBit(0); i >= 0; i = job.done.nextSetBit(job.done.nextClearBit(i))) {
+                doneRanges++;
+            }
+            size = FIXED + PER_GROUP * groups(job) + PER_TASK * (job.placements().size() + doneRanges);
+        }
+
+        @Override
+        int with(int tasks, int lastIndex, int machines) {
+            return size + PER_GROUP * machines + PER_TASK * tasks;
+        }
+
+        @Override
+        void placed(int index, boolean newMachine) {
+            size += PER_TASK + (newMachine ? PER_GROUP : 0);
+        }
     }
 }
--- a/src/main/java/org/woadloom/core/placement/ServiceOrder.java
+++ b/src/main/java/org/woadloom/core/placement/ServiceOrder.java
@@ -27,7 +27,7 @@
     }
 
     private static final Comparator<Entry> ORDER = Comparator
-            .comparing((Entry e) -> e.job.description.rank()).reversed()
+            .comparing((Entry e) -> e.job.rank()).reversed()
             .thenComparing(e -> !e.job.guaranteed)
             .thenComparing(Entry::late)
             .thenComparingDouble(Entry::turn)
@@ -50,7 +50,7 @@
         List<Entry> entries = new ArrayList<>(jobs.size());
         for (Job job : jobs) {
             double alone = (double) job.room.cpu() * job.pending() / fleet * runtimeMicros(job);
-            entries.add(new Entry(job, late(job), job.submittedMicros + alone));
+            entries.add(new Entry(job, late(job), job.sinceMicros() + alone));
         }
         entries.sort(ORDER);
         List<Job> sorted = new ArrayList<>(entries.size());
@@ -66,9 +66,11 @@
 
     /** True if the last of the times that the users set for the job can't be kept any more, by its owner's estimate. */
     private boolean late(Job job) {
-        double time = job.description.dueS() != null ? job.description.dueS() * 1e6
+        boolean due = job.dueMicros() != Long.MAX_VALUE;
+        double from = due ? job.submittedMicros : job.sinceMicros();
+        double time = due ? job.dueMicros() - from
                 : targets.getOrDefault(job.description.jobclass(), Long.MAX_VALUE);
-        double age = world.nowMicros - job.submittedMicros;
+        double age = world.nowMicros - from;
         return !job.description.service() && age + runtimeMicros(job) > time && age <= PATIENCE * time;
     }
 }
--- a/src/main/java/org/woadloom/core/reservation/Gathering.java
+++ b/src/main/java/org/woadloom/core/reservation/Gathering.java
@@ -75,7 +75,7 @@
                 waiting.add(job);
             }
         }
-        waiting.sort(Comparator.comparingLong((Job job) -> requeuedMicros.getOrDefault(job, job.submittedMicros))
+        waiting.sort(Comparator.comparingLong((Job job) -> requeuedMicros.getOrDefault(job, job.sinceMicros()))
                 .thenComparing(Job::uid));
         for (Job job : waiting) {
             begin(job);
--- a/src/main/java/org/woadloom/core/teams/Guarantees.java
+++ b/src/main/java/org/woadloom/core/teams/Guarantees.java
@@ -15,7 +15,7 @@
  * other's tasks in turn.
  */
 public final class Guarantees {
-    private static final Comparator<Job> BY_AGE = Comparator.comparingLong((Job job) -> job.submittedMicros)
+    private static final Comparator<Job> BY_AGE = Comparator.comparingLong((Job job) -> job.sinceMicros())
             .thenComparing(Job::uid);
 
     private final World world;
@@ -27,7 +27,7 @@
     public void update() {
         List<Job> jobs = new ArrayList<>(world.jobs.size());
         for (Job job : world.jobs.values()) {
-            if (!job.over()) {
+            if (!job.over() && !job.waiting()) {
                 jobs.add(job);
             }
         }
--- a/src/main/java/org/woadloom/http/JobApi.java
+++ b/src/main/java/org/woadloom/http/JobApi.java
@@ -12,6 +12,7 @@
 import org.woadloom.state.FinalRecord;
 import org.woadloom.state.JobRecord;
 import org.woadloom.state.Keys;
+import org.woadloom.state.RecordFormat;
 import org.woadloom.state.StateClient;
 import org.woadloom.state.StateClient.Change;
 import org.woadloom.state.StateClient.Condition;
@@ -41,26 +42,48 @@
         List<MachineType> types();
     }
 
+    /** How and how large records may be now. */
+    public interface Storage {
+        RecordFormat format();
+
+        int valueBytes();
+
+        void seen(RecordFormat format);
+    }
+
+    /** Room that a record needs beside its description, so that some tasks at a time can be placed. */
+    private static final int PROGRESS_BYTES = 400;
+
     private final Loop loop;
     private final StateClient state;
     private final ServiceSettings settings;
+    private final Storage storage;
     private final Types types;
     private final Hint hint;
-    private final Cache<String, JobStatus> finals = Caffeine.newBuilder().maximumSize(20_000)
+    private final Cache<String, FinalRecord> finals = Caffeine.newBuilder().maximumSize(20_000)
             .executor(Runnable::run).build();
     private final Map<String, List<Consumer<Looked>>> looking = new HashMap<>();
 
+    /** Jobs that are known to be accepted, which stays true; true for services. */
+    private final Cache<String, Boolean> accepted = Caffeine.newBuilder().maximumSize(20_000)
+            .executor(Runnable::run).build();
+
     /** What the store says of a job: one of the records, or neither where it is unknown; null if it did not say. */
-    private record Looked(JobRecord record, long stamp, JobStatus finalState) {
+    private record Looked(JobRecord record, RecordFormat format, long stamp, FinalRecord finalState) {
         JobStatus status() {
-            return finalState != null ? finalState : record != null ? record.status() : null;
+            return finalState != null ? finalState.status() : record != null ? record.status() : null;
+        }
+
+        boolean service() {
+            return finalState != null ? finalState.service() : record.description().service();
         }
     }
 
-    public JobApi(Loop loop, StateClient state, ServiceSettings settings, Types types, Hint hint) {
+    public JobApi(Loop loop, StateClient state, ServiceSettings settings, Storage storage, Types types, Hint hint) {
         this.loop = loop;
         this.state = state;
         this.settings = settings;
+        this.storage = storage;
         this.types = types;
         this.hint = hint;
     }
@@ -84,8 +107,10 @@
         }
         if (refusal != null) {
             refuseUnlessKnown(map.get("uid"), refusal, answer);
-        } else {
+        } else if (job.awaits().isEmpty()) {
             create(job, answer);
+        } else {
+            createAfter(job, answer);
         }
     }
 
@@ -128,10 +153,64 @@
         return Response.error(422, "a task fits no allowed machine type");
     }
 
+    /**
+     * A job that waits for others is accepted once the store has told of each of them, as users submit it right after the
+     * answer for the ones before. Until every node is known to run this version it can't be: version 1 would start it.
+     */
+    private void createAfter(JobDescription job, Consumer<Response> answer) {
+        for (String before : job.awaits()) {
+            if (!JobDescription.isUid(before) || before.equals(job.uid())) {
+                refuseUnlessKnown(job.uid(), Response.error(422, "awaits: " + before + " can't be waited for"), answer);
+                return;
+            }
+        }
+        if (storage.format() != RecordFormat.COMPACT) {
+            refuseUnlessKnown(job.uid(), Response.unavailable("awaits: not before all nodes run this version"), answer);
+            return;
+        }
+        Response[] refusal = {null};
+        int[] missing = {job.awaits().size()};
+        for (String before : job.awaits()) {
+            lookFor(before, (looked, service) -> {
+                if (!looked && (refusal[0] == null || refusal[0].status() == 422)) {
+                    refusal[0] = Response.unavailable("the state service does not answer");
+                } else if (looked && refusal[0] == null && (service == null || service)) {
+                    refusal[0] = Response.error(422, "awaits: " + before + (service == null ? " was never accepted"
+                            : " is a service"));
+                }
+                if (--missing[0] > 0) {
+                    return;
+                }
+                if (refusal[0] == null) {
+                    create(job, answer);
+                } else {
+                    refuseUnlessKnown(job.uid(), refusal[0], answer);
+                }
+            });
+        }
+    }
+
+    private interface Finding {
+        /** Whether the store told, and then whether the job is a service; null for one that is not there. */
+        void found(boolean looked, Boolean service);
+    }
+
+    private void lookFor(String uid, Finding finding) {
+        Boolean service = accepted.getIfPresent(uid);
+        if (service != null) {
+            finding.found(true, service);
+            return;
+        }
+        look(uid, looked -> finding.found(looked != null,
+                looked == null || looked.status() == null ? null : (Boolean) looked.service()));
+    }
+
     private void create(JobDescription job, Consumer<Response> answer) {
         JobRecord record = JobRecord.accepted(job, loop.wallMicros());
-        Map<String, Object> value = record.toMap();
-        if (Cbor.jsonSize(value) > settings.state().valueBytes()) {
+        RecordFormat format = storage.format();
+        Map<String, Object> value = record.toMap(format);
+        int spare = format == RecordFormat.COMPACT ? PROGRESS_BYTES : 0;
+        if (Cbor.jsonSize(value) + spare > storage.valueBytes()) {
             refuseUnlessKnown(job.uid(), Response.error(400, "the job's description is too long"), answer);
             return;
         }
@@ -139,6 +218,7 @@
                 List.of(new Condition(Keys.job(job.uid()), 0), new Condition(Keys.finalState(job.uid()), 0)),
                 List.of(Change.put(Keys.job(job.uid()), value)), (result, generation, failed) -> {
                     if (result == Result.OK) {
+                        accepted.put(job.uid(), job.service());
                         hint.changed(record, generation);
                         answer.accept(Response.of(201, new JobStatus(job.uid(), "queued", -1, 0).toMap()));
                     } else if (result == Result.CONFLICT) {
@@ -183,8 +263,9 @@
                 answer.accept(Response.of(200, new JobStatus(uid, looked.status().status(), -1, 0).toMap()));
             } else {
                 JobRecord cancelled = looked.record.asCancelled();
+                RecordFormat format = looked.format == RecordFormat.COMPACT ? looked.format : storage.format();
                 state.txn(Urgency.URGENT, List.of(new Condition(Keys.job(uid), looked.stamp)),
-                        List.of(Change.put(Keys.job(uid), cancelled.toMap())), (result, generation, failed) -> {
+                        List.of(Change.put(Keys.job(uid), cancelled.toMap(format))), (result, generation, failed) -> {
                             if (result == Result.OK) {
                                 hint.changed(cancelled, generation);
                                 answer.accept(Response.of(200, new JobStatus(uid, "cancelled", -1, 0).toMap()));
@@ -200,9 +281,9 @@
 
     /** Reads a job; simultaneous reads of one job share a request. */
     private void look(String uid, Consumer<Looked> consumer) {
-        JobStatus known = finals.getIfPresent(uid);
+        FinalRecord known = finals.getIfPresent(uid);
         if (known != null) {
-            consumer.accept(new Looked(null, 0, known));
+            consumer.accept(new Looked(null, null, 0, known));
             return;
         }
         List<Consumer<Looked>> waiting = looking.get(uid);
@@ -232,7 +313,11 @@
         state.get(Urgency.NORMAL, Keys.job(uid), (result, entry, generation) -> {
             try {
                 if (result == Result.OK) {
-                    consumer.accept(new Looked(JobRecord.parse(entry.value()), entry.stamp(), null));
+                    RecordFormat format = JobRecord.formatOf(entry.value());
+                    storage.seen(format);
+                    JobRecord record = JobRecord.parse(entry.value());
+                    accepted.put(uid, record.description().service());
+                    consumer.accept(new Looked(record, format, entry.stamp(), null));
                 } else if (result == Result.NOT_FOUND) {
                     readFinal(uid, consumer);
                 } else {
@@ -249,11 +334,12 @@
         state.get(Urgency.NORMAL, Keys.finalState(uid), (result, entry, generation) -> {
             try {
                 if (result == Result.OK) {
-                    JobStatus status = FinalRecord.parse(uid, entry.value()).status();
-                    finals.put(uid, status);
-                    consumer.accept(new Looked(null, 0, status));
+                    FinalRecord record = FinalRecord.parse(uid, entry.value());
+                    finals.put(uid, record);
+                    accepted.put(uid, record.service());
+                    consumer.accept(new Looked(null, null, 0, record));
                 } else if (result == Result.NOT_FOUND) {
-                    consumer.accept(new Looked(null, 0, null));
+                    consumer.accept(new Looked(null, null, 0, null));
                 } else {
                     consumer.accept(null);
                 }
--- a/src/main/java/org/woadloom/leader/RecordWriter.java
+++ b/src/main/java/org/woadloom/leader/RecordWriter.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import org.woadloom.core.Command.WriteOutcome;
 import org.woadloom.state.Keys;
+import org.woadloom.state.Limits;
 import org.woadloom.state.StateClient;
 import org.woadloom.state.StateClient.Change;
 import org.woadloom.state.StateClient.Condition;
@@ -34,15 +35,15 @@
     }
 
     private final StateClient state;
-    private final int txnOps;
+    private final Limits limits;
     private final long leaderStamp;
     private final Runnable deposed;
     private final List<Write> urgent = new ArrayList<>();
     private final List<Write> normal = new ArrayList<>();
 
-    public RecordWriter(StateClient state, int txnOps, long leaderStamp, Runnable deposed) {
+    public RecordWriter(StateClient state, Limits limits, long leaderStamp, Runnable deposed) {
         this.state = state;
-        this.txnOps = txnOps;
+        this.limits = limits;
         this.leaderStamp = leaderStamp;
         this.deposed = deposed;
     }
@@ -63,7 +64,7 @@
         int bytes = 0;
         for (Write write : writes) {
             int size = write.size();
-            if (!batch.isEmpty() && (ops + write.changes.size() > txnOps || bytes + size > MAX_BYTES)) {
+            if (!batch.isEmpty() && (ops + write.changes.size() > limits.txnOps() || bytes + size > MAX_BYTES)) {
                 transact(urgency, batch);
                 batch = new ArrayList<>();
                 ops = 0;
@@ -93,11 +94,30 @@
                 case CONFLICT -> conflict(urgency, batch, failed);
                 case UNAVAILABLE, NOT_FOUND -> batch.forEach(
                         write -> write.callback.written(WriteOutcome.NOT_WRITTEN, 0));
-                case BAD, UNKNOWN -> batch.forEach(write -> write.callback.written(WriteOutcome.UNKNOWN, 0));
+                case BAD -> refused(urgency, batch, changes);
+                case UNKNOWN -> batch.forEach(write -> write.callback.written(WriteOutcome.UNKNOWN, 0));
             }
         });
     }
 
+    /**
+     * A value or the number of changes is above a limit that has fallen. Each record is tried by itself, so that what is
+     * too large holds up nothing else; nothing was executed.
+     */
+    private void refused(Urgency urgency, List<Write> batch, List<Change> changes) {
+        if (batch.size() > 1) {
+            limits.refusedOps(changes.size());
+            batch.forEach(write -> transact(urgency, List.of(write)));
+            return;
+        }
+        int largest = 0;
+        for (Change change : changes) {
+            largest = Math.max(largest, Cbor.jsonSize(change.value()));
+        }
+        limits.refusedValue(largest);
+        batch.get(0).callback.written(WriteOutcome.TOO_LARGE, 0);
+    }
+
     private void conflict(Urgency urgency, List<Write> batch, List<String> failed) {
         if (failed.contains(Keys.LEADER)) {
             deposed.run();
--- a/src/main/java/org/woadloom/node/LeaderDuties.java
+++ b/src/main/java/org/woadloom/node/LeaderDuties.java
@@ -12,14 +12,18 @@
 import org.woadloom.leader.RecordWriter;
 import org.woadloom.net.Loop;
 import org.woadloom.settings.ServiceSettings;
+import org.woadloom.state.FinalRecord;
 import org.woadloom.state.JobRecord;
 import org.woadloom.state.Keys;
+import org.woadloom.state.Limits;
 import org.woadloom.state.MachineRecord;
+import org.woadloom.state.RecordFormat;
 import org.woadloom.state.StateClient;
 import org.woadloom.state.StateClient.Change;
 import org.woadloom.state.StateClient.Condition;
 import org.woadloom.state.StateClient.Result;
 import org.woadloom.state.StateClient.Urgency;
+import org.woadloom.wire.Cbor;
 import org.woadloom.wire.WireException;
 import org.woadloom.wire.WorkerReport;
 import org.woadloom.worker.WorkerClient;
@@ -43,6 +47,8 @@
     private final CloudClient cloud;
     private final WorkerClient workers;
     private final ServiceSettings settings;
+    private final Limits limits;
+    private final Rollout rollout;
     private final java.util.function.Consumer<String> abdicate;
     private CommandQueue queue;
     private long term;
@@ -51,12 +57,14 @@
     private long replies;
 
     LeaderDuties(Loop loop, StateClient state, CloudClient cloud, WorkerClient workers, ServiceSettings settings,
-            java.util.function.Consumer<String> abdicate) {
+            Limits limits, Rollout rollout, java.util.function.Consumer<String> abdicate) {
         this.loop = loop;
         this.state = state;
         this.cloud = cloud;
         this.workers = workers;
         this.settings = settings;
+        this.limits = limits;
+        this.rollout = rollout;
         this.abdicate = abdicate;
     }
 
@@ -72,7 +80,20 @@
     void begin(long newTerm, long leaderStamp) {
         term = newTerm;
         writer = null;
-        loadMachines(newTerm, leaderStamp);
+        // The format must be known before the first write.
+        rollout.look(Urgency.URGENT, known -> again(newTerm, () -> {
+            if (known) {
+                loadMachines(newTerm, leaderStamp);
+            } else {
+                loop.schedule(RETRY_MICROS, () -> again(newTerm, () -> begin(newTerm, leaderStamp)));
+            }
+        }));
+    }
+
+    /** Tells the core what its records must fit. */
+    void tellStorage() {
+        queue.add(new Command.StorageSeen(rollout.format() == RecordFormat.COMPACT ? limits.valueBytes()
+                : limits.valueBytesNow(), rollout.format()));
     }
 
     void end() {
@@ -134,13 +155,14 @@
             List<Command.StoredJob> jobs = new ArrayList<>();
             for (StateClient.Entry entry : entries) {
                 try {
-                    jobs.add(new Command.StoredJob(JobRecord.parse(entry.value()), entry.stamp()));
+                    jobs.add(new Command.StoredJob(read(entry.value()), entry.stamp()));
                 } catch (WireException e) {
                     LOG.error("record {} can't be read: {}", entry.path(), e.getMessage());
                 }
             }
-            writer = new RecordWriter(state, settings.state().txnOps(), leaderStamp,
+            writer = new RecordWriter(state, limits, leaderStamp,
                     () -> again(ofTerm, () -> abdicate.accept("another node took over")));
+            tellStorage();
             queue.add(new Command.Lead(ofTerm, jobs, machines));
             followJobs(ofTerm, generation);
             tick(ofTerm);
@@ -186,9 +208,14 @@
         });
     }
 
+    private JobRecord read(Map<String, Object> value) throws WireException {
+        rollout.seen(JobRecord.formatOf(value));
+        return JobRecord.parse(value);
+    }
+
     private void jobSeen(String path, Map<String, Object> value, long stamp) {
         try {
-            queue.add(new Command.JobSeen(JobRecord.parse(value), stamp));
+            queue.add(new Command.JobSeen(read(value), stamp));
         } catch (WireException e) {
             LOG.error("record {} can't be read: {}", path, e.getMessage());
         }
@@ -247,6 +274,8 @@
             finishJob(finish);
         } else if (effect instanceof Effect.ReadJob read) {
             readJob(read.uid());
+        } else if (effect instanceof Effect.FindJob find) {
+            findJob(find.uid());
         } else if (effect instanceof Effect.PutMachine put) {
             putMachine(put);
         } else if (effect instanceof Effect.DropMachine drop) {
@@ -273,21 +302,66 @@
     }
 
     private void putJob(Effect.PutJob put) {
-        long ofTerm = term;
         String uid = put.record().description().uid();
-        writer.add(put.urgent(), RecordWriter.put(Keys.job(uid), put.record().toMap(), put.stamp(),
-                (outcome, stamp) -> again(ofTerm, () -> queue.add(
-                        new Command.JobWritten(uid, put.record().version(), outcome, stamp)))));
+        Map<String, Object> value = put.record().toMap(rollout.format());
+        RecordWriter.Outcome outcome = jobWritten(uid, put.record().version());
+        if (Cbor.jsonSize(value) > limits.valueBytesNow()) {
+            outcome.written(Command.WriteOutcome.TOO_LARGE, 0);
+        } else {
+            writer.add(put.urgent(), RecordWriter.put(Keys.job(uid), value, put.stamp(), outcome));
+        }
     }
 
     private void finishJob(Effect.FinishJob finish) {
-        long ofTerm = term;
         String uid = finish.record().uid();
         writer.add(true, new RecordWriter.Write(
                 List.of(new Condition(Keys.job(uid), finish.stamp())),
-                List.of(Change.put(Keys.finalState(uid), finish.record().toMap()), Change.drop(Keys.job(uid))),
-                (outcome, stamp) -> again(ofTerm, () -> queue.add(
-                        new Command.JobWritten(uid, finish.version(), outcome, stamp)))));
+                List.of(Change.put(Keys.finalState(uid), finish.record().toMap(rollout.format())),
+                        Change.drop(Keys.job(uid))), jobWritten(uid, finish.version())));
+    }
+
+    private RecordWriter.Outcome jobWritten(String uid, long version) {
+        long ofTerm = term;
+        return (outcome, stamp) -> again(ofTerm, () -> {
+            if (outcome == Command.WriteOutcome.TOO_LARGE) {
+                // A limit may have been learned from it.
+                tellStorage();
+            }
+            queue.add(new Command.JobWritten(uid, version, outcome, stamp));
+        });
+    }
+
+    /** What the store says of a job: its record first, as it moves from there to its final state in one transaction. */
+    private void findJob(String uid) {
+        long ofTerm = term;
+        state.get(Urgency.URGENT, Keys.job(uid), (result, entry, generation) -> again(ofTerm, () -> {
+            if (result == Result.OK) {
+                jobSeen(entry.path(), entry.value(), entry.stamp());
+                queue.add(new Command.JobFound(uid, Command.Standing.OPEN, 0));
+            } else if (result == Result.NOT_FOUND) {
+                state.get(Urgency.URGENT, Keys.finalState(uid), (read, found, at) -> again(ofTerm,
+                        () -> queue.add(standing(uid, read, found))));
+            } else {
+                queue.add(new Command.JobFound(uid, Command.Standing.UNREADABLE, 0));
+            }
+        }));
+    }
+
+    private static Command.JobFound standing(String uid, Result result, StateClient.Entry entry) {
+        if (result == Result.NOT_FOUND) {
+            LOG.error("job {} is waited for and is not in the store", uid);
+            return new Command.JobFound(uid, Command.Standing.NOT_FOUND, 0);
+        }
+        try {
+            if (result == Result.OK) {
+                FinalRecord record = FinalRecord.parse(uid, entry.value());
+                return new Command.JobFound(uid, record.cancelled() ? Command.Standing.CANCELLED
+                        : Command.Standing.DONE, record.wallMicros());
+            }
+        } catch (WireException e) {
+            LOG.error("record {} can't be read: {}", entry.path(), e.getMessage());
+        }
+        return new Command.JobFound(uid, Command.Standing.UNREADABLE, 0);
     }
 
     private void readJob(String uid) {
--- a/src/main/java/org/woadloom/node/Mailbox.java
+++ b/src/main/java/org/woadloom/node/Mailbox.java
@@ -14,6 +14,7 @@
 import org.woadloom.net.Loop;
 import org.woadloom.settings.ServiceSettings;
 import org.woadloom.state.Keys;
+import org.woadloom.state.Limits;
 import org.woadloom.state.StateClient;
 import org.woadloom.state.StateClient.Change;
 import org.woadloom.state.StateClient.Result;
@@ -48,7 +49,7 @@
     private final Loop loop;
     private final StateClient state;
     private final String label;
-    private final int valueBytes;
+    private final Limits limits;
     private final ArrayDeque<Parcel> outgoing = new ArrayDeque<>();
     /** Reports that wait for an answer, by machine. */
     private final Map<String, Parcel> waiting = new HashMap<>();
@@ -63,11 +64,11 @@
     private record Parcel(long id, String host, Object report, int size, ParkedReports.Parked sent) {
     }
 
-    Mailbox(Loop loop, StateClient state, ServiceSettings settings) {
+    Mailbox(Loop loop, StateClient state, ServiceSettings settings, Limits limits) {
         this.loop = loop;
         this.state = state;
         this.label = settings.label();
-        this.valueBytes = settings.state().valueBytes();
+        this.limits = limits;
     }
 
     /** Sends a worker's report; the answer is 503 if none comes while the worker waits. */
@@ -81,7 +82,7 @@
             return;
         }
         Parcel parcel = new Parcel(newId(), host, map, Cbor.jsonSize(map) + 40, report);
-        if (parcel.size + LETTER_BYTES > valueBytes) {
+        if (parcel.size + LETTER_BYTES > limits.valueBytesNow()) {
             answer.accept(Response.unavailable("the report is too long for the state service"));
             return;
         }
@@ -140,7 +141,7 @@
         List<Object> reports = new ArrayList<>();
         int size = LETTER_BYTES;
         // Answers with launches may be longer than the reports, and must fit in the same place.
-        while (!outgoing.isEmpty() && (reports.isEmpty() || size + outgoing.peekFirst().size <= valueBytes / 2)) {
+        while (!outgoing.isEmpty() && (reports.isEmpty() || size + outgoing.peekFirst().size <= limits.valueBytesNow() / 2)) {
             Parcel parcel = outgoing.pollFirst();
             size += parcel.size;
             reports.add(Arrays.asList(parcel.id, parcel.report));
@@ -152,6 +153,9 @@
         letters[slot] = id;
         state.txn(Urgency.URGENT, List.of(), List.of(Change.put(Keys.mail(label, slot), value)),
                 (result, generation, failed) -> {
+                    if (result == Result.BAD) {
+                        limits.refusedValue(Cbor.jsonSize(value));
+                    }
                     if (result != Result.OK) {
                         LOG.debug("a letter with {} reports was not written: {}", reports.size(), result);
                         free(slot, id);
@@ -314,7 +318,7 @@
         int size = LETTER_BYTES;
         for (Object answer : all) {
             size += Cbor.jsonSize(answer) + 1;
-            if (size > valueBytes) {
+            if (size > limits.valueBytesNow()) {
                 break;
             }
             answers.add(answer);
@@ -323,6 +327,9 @@
         value.put("id", id);
         value.put("answers", answers);
         state.txn(Urgency.URGENT, List.of(), List.of(Change.put(path, value)), (result, generation, failed) -> {
+            if (result == Result.BAD) {
+                limits.refusedValue(Cbor.jsonSize(value));
+            }
             if (result != Result.OK) {
                 LOG.debug("{} answers were not written: {}", answers.size(), result);
             }
--- a/src/main/java/org/woadloom/node/Node.java
+++ b/src/main/java/org/woadloom/node/Node.java
@@ -29,6 +29,8 @@
 import org.woadloom.settings.ServiceSettings;
 import org.woadloom.state.JobRecord;
 import org.woadloom.state.Keys;
+import org.woadloom.state.Limits;
+import org.woadloom.state.RecordFormat;
 import org.woadloom.state.StateClient;
 import org.woadloom.state.StateClient.Change;
 import org.woadloom.state.StateClient.Result;
@@ -52,7 +54,9 @@
 
     private final Loop loop;
     private final ServiceSettings settings;
+    private final Limits limits;
     private final StateClient state;
+    private final Rollout rollout;
     private final CloudClient cloud;
     private final Election election;
     private final LeaderDuties duties;
@@ -78,14 +82,16 @@
             OperatorSettings operator, Random random) {
         this.loop = loop;
         this.settings = settings;
-        state = new StateClient(loop, transport, settings, random);
+        limits = new Limits(settings.state());
+        state = new StateClient(loop, transport, settings, limits, random);
+        rollout = new Rollout(loop, state, settings, this::formatAgreed);
         cloud = new CloudClient(loop, transport, settings);
         duties = new LeaderDuties(loop, state, cloud, new WorkerClient(transport,
-                settings.resources().fdLimit() / 8), settings, this::abdicate);
+                settings.resources().fdLimit() / 8), settings, limits, rollout, this::abdicate);
         Core core = new Core(CoreSettings.of(settings, operator));
         queue = new CommandQueue(loop, core, metrics, MOST_REPORTS_WAITING, duties::execute);
         duties.attach(queue);
-        mailbox = new Mailbox(loop, state, settings);
+        mailbox = new Mailbox(loop, state, settings, limits);
         parked = new ParkedReports(loop, MOST_REPORTS_WAITING,
                 report -> route(report.body(), report.answer(), report.untilMicros()));
         election = new Election(loop, state, settings.label(), random, new Election.Listener() {
@@ -110,7 +116,7 @@
                 duties.end();
             }
         });
-        peers = new PeerLinks(loop, net, settings.peers().stream().map(Peer::label).toList(), election, new PeerLinks.Inbox() {
+        peers = new PeerLinks(loop, net, settings.peers().stream().map(Peer::label).toList(), election, rollout, new PeerLinks.Inbox() {
             @Override
             public void hint(JobRecord record, long stamp) {
                 tellCore(record, stamp);
@@ -121,13 +127,15 @@
                 decide(report, answer);
             }
         });
-        router = new Router(new JobApi(loop, state, settings, () -> types, this::changed), this::report,
+        router = new Router(new JobApi(loop, state, settings, storage(), () -> types, this::changed), this::report,
                 metrics);
         metrics.gauge("woadloom.leader", election, e -> e.leads() ? 1 : 0);
         metrics.gauge("woadloom.term", election, Election::knownTerm);
         metrics.gauge("woadloom.state.troubles", state, StateClient::troubles);
         metrics.gauge("woadloom.jobs", core, Core::jobs);
         metrics.gauge("woadloom.machines", core, Core::machines);
+        metrics.gauge("woadloom.jobs.waiting", core, Core::waiting);
+        metrics.gauge("woadloom.version.agreed", rollout, r -> r.format() == RecordFormat.COMPACT ? Rollout.VERSION : 1);
         metrics.gauge("woadloom.reservations", core, Core::reservations);
     }
 
@@ -139,9 +147,35 @@
         LOG.info("node {} in {} starts", settings.label(), settings.area());
         election.start();
         peers.start();
+        rollout.start();
         readTypes();
     }
 
+    private void formatAgreed() {
+        if (duties.ready()) {
+            duties.tellStorage();
+        }
+    }
+
+    private JobApi.Storage storage() {
+        return new JobApi.Storage() {
+            @Override
+            public RecordFormat format() {
+                return rollout.format();
+            }
+
+            @Override
+            public int valueBytes() {
+                return rollout.format() == RecordFormat.COMPACT ? limits.valueBytes() : limits.valueBytesNow();
+            }
+
+            @Override
+            public void seen(RecordFormat format) {
+                rollout.seen(format);
+            }
+        };
+    }
+
     private void abdicate(String reason) {
         election.stepDown(reason);
     }
--- a/src/main/java/org/woadloom/node/PeerLinks.java
+++ b/src/main/java/org/woadloom/node/PeerLinks.java
@@ -34,6 +34,7 @@
     private final PeerNet net;
     private final List<String> labels;
     private final Election election;
+    private final Rollout rollout;
     private final Inbox inbox;
     private final Map<String, Link> links = new HashMap<>();
     private final Map<Long, Consumer<Response>> carrying = new HashMap<>();
@@ -47,11 +48,13 @@
         int refusals;
     }
 
-    PeerLinks(Loop loop, PeerNet net, List<String> labels, Election election, Inbox inbox) {
+    PeerLinks(Loop loop, PeerNet net, List<String> labels, Election election, Rollout rollout,
+            Inbox inbox) {
         this.labels = labels;
         this.loop = loop;
         this.net = net;
         this.election = election;
+        this.rollout = rollout;
         this.inbox = inbox;
     }
 
@@ -109,7 +112,7 @@
     }
 
     void hint(String leader, JobRecord record, long stamp) {
-        net.send(leader, new PeerMessage.Hint(Cbor.encode(record.toMap()), stamp));
+        net.send(leader, new PeerMessage.Hint(Cbor.encode(record.toMap(rollout.format())), stamp));
     }
 
     /** Has the leader decide a report; the answer is 503 if none comes while the worker waits. */
@@ -134,7 +137,9 @@
             }
         } else if (message instanceof PeerMessage.Hint hint) {
             try {
-                inbox.hint(JobRecord.parse(Cbor.decodeMap(hint.record())), hint.stamp());
+                Map<String, Object> record = Cbor.decodeMap(hint.record());
+                rollout.seen(JobRecord.formatOf(record));
+                inbox.hint(JobRecord.parse(record), hint.stamp());
             } catch (WireException e) {
                 LOG.error("a hint of {} can't be read: {}", from, e.getMessage());
             }
--- a/src/main/java/org/woadloom/settings/Section.java
+++ b/src/main/java/org/woadloom/settings/Section.java
@@ -20,6 +20,10 @@
         return new SettingsException(file + ": " + path + key + ": expected " + expected);
     }
 
+    boolean has(String key) {
+        return value(key) != null;
+    }
+
     Section table(String key) throws SettingsException {
         if (value(key) instanceof Config table) {
             return new Section(file, path + key + ".", table);
--- a/src/main/java/org/woadloom/settings/ServiceSettings.java
+++ b/src/main/java/org/woadloom/settings/ServiceSettings.java
@@ -10,7 +10,16 @@
     public record Workers(long reportMicros, long leaseMicros, long cancelMicros) {
     }
 
-    public record State(double rps, double writeRps, int valueBytes, int txnOps) {
+    /** The state service's limits now; {@code next} are those that it may have from some moment on, without notice. */
+    public record State(double rps, double writeRps, int valueBytes, int txnOps, State next) {
+        /** The smaller of the two limits on values: what keeps to it is taken before and after the change. */
+        public int leastValueBytes() {
+            return next == null ? valueBytes : Math.min(valueBytes, next.valueBytes);
+        }
+
+        public int leastTxnOps() {
+            return next == null ? txnOps : Math.min(txnOps, next.txnOps);
+        }
     }
 
     public record Cloud(double rps, long listLagMicros) {
--- a/src/main/java/org/woadloom/settings/ServiceSettingsFile.java
+++ b/src/main/java/org/woadloom/settings/ServiceSettingsFile.java
@@ -24,6 +24,22 @@
         return parse(path.toString(), text);
     }
 
+    /** The limits in force, and those announced in {@code next}, where what is not named stays as it is. */
+    private static ServiceSettings.State stateLimits(Section state) throws SettingsException {
+        double rps = state.number("rps", 1);
+        double writeRps = state.number("write_rps", 1);
+        double valueKb = state.number("value_kb", 1);
+        double txnOps = state.number("txn_ops", 2);
+        ServiceSettings.State next = null;
+        if (state.has("next")) {
+            Section later = state.table("next");
+            next = new ServiceSettings.State(later.numberOr("rps", 1, rps), later.numberOr("write_rps", 1, writeRps),
+                    (int) (later.numberOr("value_kb", 1, valueKb) * 1024), (int) later.numberOr("txn_ops", 2, txnOps),
+                    null);
+        }
+        return new ServiceSettings.State(rps, writeRps, (int) (valueKb * 1024), (int) txnOps, next);
+    }
+
     public static ServiceSettings parse(String file, String text) throws SettingsException {
         Config config;
         try {
@@ -57,8 +73,7 @@
                 List.copyOf(deployment.texts("zones")), List.copyOf(teams), List.copyOf(objectives),
                 new ServiceSettings.Workers(workers.micros("report_s", 0.01), workers.micros("lease_s", 0.1),
                         workers.micros("cancel_s", 0.1)),
-                new ServiceSettings.State(state.number("rps", 1), state.number("write_rps", 1),
-                        (int) (state.number("value_kb", 1) * 1024), (int) state.number("txn_ops", 2)),
+                stateLimits(state),
                 new ServiceSettings.Cloud(cloud.number("rps", 0.01), cloud.micros("list_lag_s", 0)),
                 new ServiceSettings.Resources(resources.number("cpu_share", 0.001), resources.number("ram_mb", 1),
                         (int) resources.number("fd_limit", 16)));
--- a/src/main/java/org/woadloom/state/JobRecord.java
+++ b/src/main/java/org/woadloom/state/JobRecord.java
@@ -13,20 +13,25 @@
 /**
  * The one durable record of a job that is not over, or that still may have tasks on machines. {@code version} tells
  * the leader that wrote it which of its writes this is, so that a write whose answer was lost can be recognised.
+ * {@code readyWallMicros} is when the last job that it waited for was done, 0 for a job that waited for none, or that waits
+ * still; once it is set, the description names no jobs any more.
  */
-public record JobRecord(JobDescription description, long submittedWallMicros, boolean cancelled, BitSet done,
-        List<Placed> placed, int running, long term, long version) {
+public record JobRecord(JobDescription description, long submittedWallMicros, long readyWallMicros, boolean cancelled,
+        BitSet done, List<Placed> placed, int running, long term, long version) {
+
+    /** The version of the compact format. */
+    private static final int FORMAT = 2;
 
     /** Tasks that may be on a machine under one attempt. */
     public record Placed(String host, long attempt, BitSet tasks) {
     }
 
     public static JobRecord accepted(JobDescription description, long wallMicros) {
-        return new JobRecord(description, wallMicros, false, new BitSet(), List.of(), 0, 0, 0);
+        return new JobRecord(description, wallMicros, 0, false, new BitSet(), List.of(), 0, 0, 0);
     }
 
     public JobRecord asCancelled() {
-        return new JobRecord(description, submittedWallMicros, true, done, placed, 0, term, version);
+        return new JobRecord(description, submittedWallMicros, readyWallMicros, true, done, placed, 0, term, version);
     }
 
     public boolean allDone() {
@@ -40,7 +45,39 @@
         return new JobStatus(description.uid(), status, done.cardinality(), running);
     }
 
-    public Map<String, Object> toMap() {
+    public Map<String, Object> toMap(RecordFormat format) {
+        return format == RecordFormat.COMPACT ? compact() : plain();
+    }
+
+    private Map<String, Object> compact() {
+        Map<String, Object> job = description.toMap();
+        job.values().removeIf(value -> value == null || Boolean.FALSE.equals(value));
+        if (cancelled) {
+            // Nothing of it will be placed again, and a cancellation must fit whatever the job was.
+            job.remove("hosttypes");
+        }
+        Map<String, Object> map = new LinkedHashMap<>();
+        map.put("format", (long) FORMAT);
+        map.put("job", job);
+        map.put("at", submittedWallMicros);
+        if (readyWallMicros != 0) {
+            map.put("ready", readyWallMicros);
+        }
+        if (cancelled) {
+            map.put("cancelled", true);
+        }
+        map.put("progress", Progress.encode(done, placed));
+        map.put("running", (long) running);
+        map.put("term", term);
+        map.put("version", version);
+        return map;
+    }
+
+    /** As version 1 reads and writes it; it knows nothing of jobs that wait for others. */
+    private Map<String, Object> plain() {
+        if (!description.awaits().isEmpty() || readyWallMicros != 0) {
+            throw new IllegalStateException("version 1 would start " + description.uid() + " before its time");
+        }
         Map<String, Object> map = new LinkedHashMap<>();
         map.put("job", description.toMap());
         map.put("at", submittedWallMicros);
@@ -63,6 +100,11 @@
         return map;
     }
 
+    /** The format in which a record is stored: one that reads as compact was written after that had been decided. */
+    public static RecordFormat formatOf(Map<String, Object> map) {
+        return map.containsKey("format") ? RecordFormat.COMPACT : RecordFormat.PLAIN;
+    }
+
     /** True for a record as the leader of the term wrote it: it needs no telling. A user's cancellation keeps the term. */
     public static boolean writtenIn(long term, Map<String, Object> map) {
         return map.get("term") instanceof Long written && written == term && !map.containsKey("cancelled");
@@ -75,6 +117,21 @@
             throw new WireException("job: expected a map");
         }
         JobDescription description = JobDescription.parse((Map<String, Object>) job);
+        Progress.Decoded progress = formatOf(map) == RecordFormat.COMPACT ? compact(f, description)
+                : plain(f, description);
+        return new JobRecord(description, f.integer("at"), f.integerOr("ready", 0), f.flagOr("cancelled", false),
+                progress.done(), progress.placed(), (int) f.integerOr("running", 0), f.integerOr("term", 0),
+                f.integerOr("version", 0));
+    }
+
+    private static Progress.Decoded compact(Fields f, JobDescription description) throws WireException {
+        if (f.integer("format") != FORMAT) {
+            throw new WireException("format: a later version's");
+        }
+        return Progress.decode(f.text("progress"), description.shards());
+    }
+
+    private static Progress.Decoded plain(Fields f, JobDescription description) throws WireException {
         List<Placed> placed = new ArrayList<>();
         for (Object item : f.list("placed")) {
             if (!(item instanceof List<?> parts) || parts.size() != 3 || !(parts.get(0) instanceof String host)
@@ -83,8 +140,6 @@
             }
             placed.add(new Placed(host, attempt, Ranges.decode(tasks, description.shards())));
         }
-        return new JobRecord(description, f.integer("at"), f.flagOr("cancelled", false),
-                Ranges.decode(f.list("done"), description.shards()), placed, (int) f.integerOr("running", 0),
-                f.integerOr("term", 0), f.integerOr("version", 0));
+        return new Progress.Decoded(Ranges.decode(f.list("done"), description.shards()), placed);
     }
 }
--- a/src/main/java/org/woadloom/state/Keys.java
+++ b/src/main/java/org/woadloom/state/Keys.java
@@ -15,6 +15,11 @@
     /** Reports on their way to a leader that their node can't reach, and the answers to them. */
     public static final String MAIL = "mail/";
 
+    /** Which version each node runs, and which of them all nodes are known to run. */
+    public static final String VERSIONS = "version/";
+    public static final String AGREED = VERSIONS + "agreed";
+    public static final String NODE_VERSIONS = VERSIONS + "node/";
+
     private Keys() {
     }
 
--- a/src/main/java/org/woadloom/state/StateClient.java
+++ b/src/main/java/org/woadloom/state/StateClient.java
@@ -96,7 +96,9 @@
     private final HttpTransport transport;
     private final Random random;
     private final String address;
-    private final ServiceSettings.State limits;
+    private final ServiceSettings.State settings;
+    private final Limits limits;
+    private boolean leads;
     private final int others;
     private final Budget requests;
     private final Budget writes;
@@ -110,12 +112,13 @@
             HttpTransport.Callback callback) {
     }
 
-    public StateClient(Loop loop, HttpTransport transport, ServiceSettings settings, Random random) {
+    public StateClient(Loop loop, HttpTransport transport, ServiceSettings settings, Limits limits, Random random) {
         this.loop = loop;
         this.transport = transport;
         this.random = random;
         this.address = settings.stateAddress();
-        this.limits = settings.state();
+        this.settings = settings.state();
+        this.limits = limits;
         this.others = Math.max(1, settings.peers().size());
         this.requests = new Budget(1);
         this.writes = new Budget(1);
@@ -127,9 +130,14 @@
 
     /** Sets this node's part of the service's limits: what one node leaves is there for the others. */
     public void lead(boolean leads) {
-        long now = loop.nowMicros();
-        requests.rate(now, limits.rps() * (leads ? LEADER_REQUESTS : OTHERS_REQUESTS / others));
-        writes.rate(now, limits.writeRps() * (leads ? LEADER_WRITES : OTHERS_WRITES / others));
+        this.leads = leads;
+        pace(loop.nowMicros());
+    }
+
+    private void pace(long now) {
+        double rate = limits.rate(now);
+        requests.rate(now, settings.rps() * rate * (leads ? LEADER_REQUESTS : OTHERS_REQUESTS / others));
+        writes.rate(now, settings.writeRps() * rate * (leads ? LEADER_WRITES : OTHERS_WRITES / others));
     }
 
     /** Answers of the kind 429 or 503, or none at all, counted for the metrics. */
@@ -273,6 +281,7 @@
     private void pump() {
         while (inFlight < MAX_IN_FLIGHT) {
             long now = loop.nowMicros();
+            pace(now);
             Urgency urgency = firstQueued();
             if (urgency == null) {
                 return;
@@ -324,6 +333,9 @@
     }
 
     private void answered(int status) {
+        if (status == 429) {
+            limits.tooFast(loop.nowMicros());
+        }
         if (status == 429 || status == 503 || status <= 0) {
             troubles++;
             heldUntilMicros = loop.nowMicros() + 50_000 + random.nextInt(150_000);
--- a/src/main/java/org/woadloom/wire/JobDescription.java
+++ b/src/main/java/org/woadloom/wire/JobDescription.java
@@ -1,17 +1,19 @@
 package org.woadloom.wire;
 
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 
 /**
  * A job as its user submits it. {@code hosttypes}, {@code yard} and {@code dueS} are null where the user set no limit;
- * amounts and durations keep the protocol's units here and become microseconds in the core.
+ * amounts and durations keep the protocol's units here and become microseconds in the core. {@code awaits} is empty for
+ * a job that waits for no other; it was written by no version before 2.
  */
 public record JobDescription(String uid, String jobclass, String crew, Shape shape, Rank rank, int shards,
         double vcpus, double cards, double ramGb, String bundle, double pullGb, List<String> hosttypes, String yard,
         boolean samePlace, boolean apart, boolean reclaimable, double runtimeS, double snapshotEveryS,
-        double snapshotCostS, Double dueS) {
+        double snapshotCostS, Double dueS, List<String> awaits) {
 
     public static final int MAX_SHARDS = 100_000;
     private static final int MAX_NAME = 120;
@@ -52,7 +54,18 @@
                 f.amountOr("pullGb", 0), hosttypes, f.textOr("yard", null), f.flagOr("samePlace", false),
                 f.flagOr("apart", false), f.flagOr("reclaimable", false), f.amountOr("runtimeS", 0),
                 f.amountOr("snapshotEveryS", 0), f.amountOr("snapshotCostS", 0),
-                f.has("dueS") ? Double.valueOf(f.amount("dueS")) : null);
+                f.has("dueS") ? Double.valueOf(f.amount("dueS")) : null, awaits(f));
+    }
+
+    /** The jobs that have to be done before this one starts; each is named once here, however often its user did. */
+    private static List<String> awaits(Fields f) throws WireException {
+        return f.has("awaits") ? List.copyOf(new LinkedHashSet<>(f.texts("awaits"))) : List.of();
+    }
+
+    /** The same job where what it waited for is done. */
+    public JobDescription released() {
+        return awaits.isEmpty() ? this : new JobDescription(uid, jobclass, crew, shape, rank, shards, vcpus, cards, ramGb, bundle, pullGb, hosttypes,
+                yard, samePlace, apart, reclaimable, runtimeS, snapshotEveryS, snapshotCostS, dueS, List.of());
     }
 
     private static String name(Fields f, String field) throws WireException {
@@ -93,6 +106,9 @@
         map.put("snapshotEveryS", snapshotEveryS);
         map.put("snapshotCostS", snapshotCostS);
         map.put("dueS", dueS);
+        if (!awaits.isEmpty()) {
+            map.put("awaits", awaits);
+        }
         return map;
     }
 }
--- a/src/test/java/org/woadloom/core/CoreFixture.java
+++ b/src/test/java/org/woadloom/core/CoreFixture.java
@@ -12,6 +12,7 @@
 import org.woadloom.settings.Team;
 import org.woadloom.state.JobRecord;
 import org.woadloom.state.MachineRecord;
+import org.woadloom.state.RecordFormat;
 import org.woadloom.wire.JobDescription;
 import org.woadloom.wire.MachineType;
 import org.woadloom.wire.WireException;
@@ -30,7 +31,7 @@
     /** @param limit the CPUs that the team may use at most */
     public CoreFixture(double limit) {
         world = new World(new CoreSettings(List.of(new Team("team", 16, limit, 0, 0)), List.of(), 1_500_000, 10_000_000, 30_000_000,
-                8192, 100, 3_000_000, OperatorSettings.defaults()), 1, 1_000_000, 0);
+                100, 3_000_000, OperatorSettings.defaults()), 8192, RecordFormat.PLAIN, 1, 1_000_000, 0);
         world.types.put(TYPE.name(), TYPE);
     }
 
--- a/src/test/java/org/woadloom/core/placement/PlacementSearchTest.java
+++ b/src/test/java/org/woadloom/core/placement/PlacementSearchTest.java
@@ -9,12 +9,15 @@
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.woadloom.core.CoreFixture;
 import org.woadloom.core.jobs.Job;
 import org.woadloom.core.jobs.Placement;
 import org.woadloom.core.machines.Machine;
 import org.woadloom.core.reservation.Reservation;
 import org.woadloom.core.reservation.Reservations;
+import org.woadloom.state.RecordFormat;
 import org.woadloom.wire.Cbor;
 
 /** The shortcuts of the search against the plain walk that they stand for. */
@@ -103,10 +106,13 @@
     }
 
     /** A job far too large for one value runs in waves, and its record fits however its tasks end. */
-    @Test
-    void theRecordOfAHugeJobAlwaysFits() {
+    @ParameterizedTest
+    @CsvSource({"PLAIN,8192", "COMPACT,2048", "COMPACT,1500"})
+    void theRecordOfAHugeJobAlwaysFits(RecordFormat format, int valueBytes) {
         Random random = new Random(8);
         CoreFixture fixture = new CoreFixture(100_000);
+        fixture.world.format = format;
+        fixture.world.valueBytes = valueBytes;
         Reservations reservations = new Reservations(fixture.world);
         for (int i = 0; i < 200; i++) {
             fixture.machine("host-" + (100_000 + i), i % 2 == 0 ? "a" : "b");
@@ -118,7 +124,7 @@
         for (int wave = 0; wave < 400; wave++) {
             placer.place();
             most = Math.max(most, job.placements().size());
-            largest = Math.max(largest, Cbor.jsonSize(job.toRecord(1, wave).toMap()));
+            largest = Math.max(largest, Cbor.jsonSize(job.toRecord(1, wave).toMap(format)));
             for (Placement placement : new ArrayList<>(job.placements())) {
                 if (random.nextInt(3) == 0) {
                     if (random.nextInt(8) > 0) {
@@ -127,9 +133,9 @@
                     job.remove(placement);
                 }
             }
-            largest = Math.max(largest, Cbor.jsonSize(job.toRecord(1, wave).toMap()));
+            largest = Math.max(largest, Cbor.jsonSize(job.toRecord(1, wave).toMap(format)));
         }
-        assertTrue(largest <= fixture.world.settings.valueBytes(), "a record of " + largest + " bytes");
+        assertTrue(largest <= valueBytes, "a record of " + largest + " bytes");
         assertTrue(most > 150, "only " + most + " at once");
         assertTrue(job.done.cardinality() > 10_000, job.done.cardinality() + " done");
     }
--- a/src/test/java/org/woadloom/sim/World.java
+++ b/src/test/java/org/woadloom/sim/World.java
@@ -221,7 +221,7 @@
         return new ServiceSettings(label(index), YARDS[index], "0:1", "0:2", peers, "cloud", "state", List.of("a", "b"),
                 List.of(new Team("red", 40, 60, 0, 0), new Team("blue", 24, 30, 0, 0)), List.of(),
                 new ServiceSettings.Workers(1_500_000, lease, 30_000_000),
-                new ServiceSettings.State(400, 200, 8192, 12), new ServiceSettings.Cloud(8, 3_000_000),
+                new ServiceSettings.State(400, 200, 8192, 12, null), new ServiceSettings.Cloud(8, 3_000_000),
                 new ServiceSettings.Resources(1, 200, 1000));
     }
 
--- /dev/null
+++ b/src/test/java/org/woadloom/state/ProductionFormatTest.java
@@ -0,0 +1,161 @@
+package org.woadloom.state;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.BitSet;
+import java.util.Comparator;
+import java.util.HexFormat;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.woadloom.peer.PeerCodec;
+import org.woadloom.peer.PeerFormatException;
+import org.woadloom.peer.PeerMessage;
+import org.woadloom.wire.Cbor;
+import org.woadloom.wire.Fields;
+import org.woadloom.wire.JobDescription;
+import org.woadloom.wire.MachineType;
+import org.woadloom.wire.WireException;
+
+/** Version 1 and this one read each other's bytes, as long as version 1 may run anywhere. */
+class ProductionFormatTest {
+    private static Map<String, byte[]> samples() throws IOException {
+        Map<String, byte[]> samples = new LinkedHashMap<>();
+        try (var in = ProductionFormatTest.class.getResourceAsStream("/production/samples.txt")) {
+            for (String line : new String(in.readAllBytes(), StandardCharsets.US_ASCII).split("\n")) {
+                int colon = line.indexOf(": ");
+                samples.put(line.substring(0, colon), HexFormat.of().parseHex(line.substring(colon + 2)));
+            }
+        }
+        return samples;
+    }
+
+    /** A job that waits for no other is stored byte for byte as before. */
+    @Test
+    void whatVersion1WroteIsReadAndWrittenTheSame() throws IOException, WireException {
+        int jobs = 0;
+        for (Map.Entry<String, byte[]> sample : samples().entrySet()) {
+            String kind = sample.getKey().split(" ")[0];
+            if (kind.equals("peer")) {
+                continue;
+            }
+            Map<String, Object> map = Cbor.decodeMap(sample.getValue());
+            Map<String, Object> again = switch (kind) {
+                case "job" -> JobRecord.parse(map).toMap(RecordFormat.PLAIN);
+                case "final" -> FinalRecord.parse("j-1", map).toMap(RecordFormat.PLAIN);
+                case "machine" -> MachineRecord.parse("host-1", map).toMap();
+                case "types" -> Map.of("hosttypes", MachineType.parseAll(map).stream().map(MachineType::toMap).toList());
+                default -> map;
+            };
+            assertArrayEquals(sample.getValue(), Cbor.encode(again), sample.getKey());
+            if (kind.equals("job")) {
+                jobs++;
+                assertEquals(map.get("placed"), ProductionRecord.read(again).get("placed"));
+                JobRecord record = JobRecord.parse(map);
+                if (!record.cancelled()) {
+                    assertEquals(sorted(record), sorted(JobRecord.parse(record.toMap(RecordFormat.COMPACT))));
+                }
+                Map<String, Object> cancelled = record.asCancelled().toMap(RecordFormat.COMPACT);
+                assertTrue(Cbor.jsonSize(cancelled) <= 2048, "cancelled in " + Cbor.jsonSize(cancelled) + " bytes");
+            }
+        }
+        assertTrue(jobs > 10);
+        assertTrue(Cbor.jsonSize(Cbor.decodeMap(samples().get("job large"))) > 2048);
+    }
+
+    @Test
+    void peerFramesOfVersion1AreReadAndSentTheSame() throws IOException, PeerFormatException {
+        PeerCodec codec = new PeerCodec();
+        int frames = 0;
+        for (Map.Entry<String, byte[]> sample : samples().entrySet()) {
+            if (sample.getKey().startsWith("peer ")) {
+                byte[] frame = sample.getValue();
+                PeerMessage message = codec.decode(Arrays.copyOfRange(frame, 4, frame.length));
+                assertEquals(sample.getKey().substring(5), message.getClass().getSimpleName());
+                assertArrayEquals(frame, codec.encode(message), sample.getKey());
+                frames++;
+            }
+        }
+        assertEquals(5, frames);
+    }
+
+    @Test
+    void version1IsNeverGivenAJobThatWaits() throws WireException {
+        JobRecord record = JobRecord.accepted(JobDescription.parse(job(3, List.of("j-1"))), 5);
+        assertThrows(IllegalStateException.class, () -> record.toMap(RecordFormat.PLAIN));
+        Map<String, Object> compact = record.toMap(RecordFormat.COMPACT);
+        assertThrows(WireException.class, () -> ProductionRecord.read(compact));
+        assertEquals(List.of("j-1"), JobRecord.parse(compact).description().awaits());
+    }
+
+    /** Which group of tasks comes first says nothing. */
+    private static JobRecord sorted(JobRecord record) {
+        List<JobRecord.Placed> placed = new ArrayList<>(record.placed());
+        placed.sort(Comparator.comparing(JobRecord.Placed::host).thenComparingLong(JobRecord.Placed::attempt));
+        return new JobRecord(record.description(), record.submittedWallMicros(), record.readyWallMicros(),
+                record.cancelled(), record.done(), placed, record.running(), record.term(), record.version());
+    }
+
+    private static Map<String, Object> job(int shards, List<String> awaits) {
+        Map<String, Object> job = new LinkedHashMap<>();
+        job.put("uid", "j-700001");
+        job.put("jobclass", "work");
+        job.put("crew", "red");
+        job.put("shape", "batch");
+        job.put("rank", "low");
+        job.put("shards", (long) shards);
+        job.put("vcpus", 1.0);
+        job.put("ramGb", 2.0);
+        job.put("bundle", "img");
+        job.put("awaits", awaits);
+        return job;
+    }
+
+    /** Any record survives the compact format, whatever the machines are called; broken text is refused, never misread. */
+    @Test
+    void compactRecordsKeepEverything() throws WireException {
+        Random random = new Random(11);
+        String[] names = {"host-%06d", "m%d", "a", "x-9-%d-b", "0%018d"};
+        for (int round = 0; round < 400; round++) {
+            int shards = 1 + random.nextInt(400);
+            int spread = 1 + random.nextInt(150);
+            BitSet done = new BitSet();
+            done.set(0, random.nextInt(shards));
+            Map<String, JobRecord.Placed> placed = new LinkedHashMap<>();
+            for (int i = 0; i < shards; i++) {
+                int luck = random.nextInt(4);
+                if (luck == 0) {
+                    done.set(i);
+                } else if (luck > 1 && (!done.get(i) || random.nextInt(20) == 0)) {
+                    int at = random.nextInt(spread);
+                    String host = String.format(names[at % names.length], at * 13);
+                    long attempt = (random.nextLong(1, 5) << 32) + random.nextInt(3);
+                    placed.computeIfAbsent(host + " " + attempt,
+                            k -> new JobRecord.Placed(host, attempt, new BitSet())).tasks().set(i);
+                }
+            }
+            JobRecord record = new JobRecord(JobDescription.parse(job(shards, List.of())), 17, random.nextInt(2), false,
+                    done, new ArrayList<>(placed.values()), 3, 4, 5);
+            JobRecord back = JobRecord.parse(Cbor.decodeMap(Cbor.encode(record.toMap(RecordFormat.COMPACT))));
+            assertEquals(sorted(record), sorted(back));
+            String text = (String) record.toMap(RecordFormat.COMPACT).get("progress");
+            char[] broken = text.toCharArray();
+            broken[random.nextInt(broken.length)] = "Aa0/*".charAt(random.nextInt(5));
+            try {
+                Progress.decode(new String(broken), shards);
+            } catch (WireException e) {
+                assertFalse(e.getMessage().isEmpty());
+            }
+        }
+    }
+}
