--- a/src/test/java/org/woadloom/sim/LoopbackTest.java
+++ b/src/test/java/org/woadloom/sim/LoopbackTest.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.woadloom.settings.ServiceSettings;
 import org.woadloom.node.Server;
 import org.woadloom.settings.OperatorSettings;
 import org.woadloom.settings.ServiceSettingsFile;
@@ -25,7 +26,8 @@
 
 /** One node over real sockets on the loopback address, with the stand-in of the state service behind HTTP. */
 class LoopbackTest {
-    private final StateStandIn state = new StateStandIn(new SimLoop());
+    private final StateStandIn state = new StateStandIn(new SimLoop(),
+            new ServiceSettings.State(1_000, 1_000, 16_384, 16, null));
     private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private Undertow outside;
     private String node;
--- /dev/null
+++ b/src/test/java/org/woadloom/sim/ProductionFilter.java
@@ -0,0 +1,81 @@
+package org.woadloom.sim;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.woadloom.state.ProductionRecord;
+import org.woadloom.wire.WireException;
+
+/**
+ * Makes a node a stand-in for version 1: what it reads of jobs is what that version's reader leaves of it, what it writes
+ * must be readable by it, and it neither says nor learns anything of versions. That it never meets a record which it can't
+ * read is checked here.
+ */
+final class ProductionFilter {
+    private static final String JOBS = "job/";
+    private static final String VERSIONS = "version/";
+
+    private ProductionFilter() {
+    }
+
+    /** The answer that a node of version 1 would never have asked for, or null. */
+    static Map<String, Object> refused(String path, Map<String, Object> body) {
+        if (path.startsWith("/keys?prefix=" + VERSIONS)) {
+            return Map.of("items", List.of(), "more", false, "generation", 0L);
+        }
+        return path.equals("/txn") && changes(body).stream().anyMatch(change -> change.get("put") instanceof String key
+                && key.startsWith(VERSIONS)) ? Map.of("error", "trouble") : null;
+    }
+
+    private static List<Map<?, ?>> changes(Map<String, Object> body) {
+        List<Map<?, ?>> changes = new ArrayList<>();
+        for (Object item : (List<?>) body.get("then")) {
+            changes.add((Map<?, ?>) item);
+        }
+        return changes;
+    }
+
+    static void checkWritten(String path, Map<String, Object> body) {
+        if (path.equals("/txn")) {
+            for (Map<?, ?> change : changes(body)) {
+                if (change.get("put") instanceof String key && key.startsWith(JOBS)) {
+                    record(change.get("value"));
+                }
+            }
+        }
+    }
+
+    @SuppressWarnings("unchecked")
+    static Map<String, Object> record(Object value) {
+        try {
+            return ProductionRecord.read((Map<String, Object>) value);
+        } catch (WireException e) {
+            throw new Violation("unreadable", "version 1 meets " + value + ": " + e.getMessage());
+        }
+    }
+
+    /** An answer of the state service, as version 1 understands it. */
+    static Map<String, Object> read(Map<String, Object> answer) {
+        Map<String, Object> seen = new LinkedHashMap<>(answer);
+        if (answer.get("path") instanceof String path && path.startsWith(JOBS)) {
+            seen.put("value", record(answer.get("value")));
+        }
+        for (String list : List.of("items", "events")) {
+            if (answer.get(list) instanceof List<?> items) {
+                List<Object> known = new ArrayList<>();
+                for (Object item : items) {
+                    Map<String, Object> entry = new LinkedHashMap<>();
+                    ((Map<?, ?>) item).forEach((key, value) -> entry.put((String) key, value));
+                    String path = (String) (entry.containsKey("path") ? entry.get("path") : entry.get("put"));
+                    if (path != null && path.startsWith(JOBS) && entry.get("value") != null) {
+                        entry.put("value", record(entry.get("value")));
+                    }
+                    known.add(entry);
+                }
+                seen.put(list, known);
+            }
+        }
+        return seen;
+    }
+}
--- a/src/test/java/org/woadloom/sim/RandomDaysTest.java
+++ b/src/test/java/org/woadloom/sim/RandomDaysTest.java
@@ -12,7 +12,6 @@
 
 /** Seeded random days with every trouble the stand-ins know; the rules are checked after each step. */
 class RandomDaysTest {
-    private static final long LEASE = 10_000_000;
     private static final long TROUBLED = 180_000_000;
     private static final long QUIET = 600_000_000;
 
@@ -24,7 +23,7 @@
     @ParameterizedTest
     @MethodSource("seeds")
     void rulesHoldAndEveryAcceptedJobIsFinished(long seed) {
-        World world = new World(seed, LEASE);
+        World world = new World(seed, Day.PLAIN);
         world.users(TROUBLED);
         world.faults(TROUBLED);
         world.run(TROUBLED + QUIET);
@@ -32,12 +31,25 @@
         assertEquals(List.of(), world.unfinished());
     }
 
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void rulesHoldWhileTheVersionInProductionIsReplaced(long seed) {
+        World world = new World(seed, Day.UPGRADE);
+        world.users(TROUBLED);
+        world.faults(TROUBLED);
+        world.upgrade(TROUBLED);
+        world.run(TROUBLED + QUIET);
+        assertTrue(world.truth.starts > 50, "only " + world.truth.starts + " starts");
+        assertTrue(world.truth.releases > 0, "no job waited for another");
+        assertEquals(List.of(), world.unfinished());
+    }
+
     /** The checker must be able to fail: nodes that believe in a shorter lease than the workers' start tasks twice. */
     @Test
     void aServiceThatTrustsTooShortALeaseIsCaught() {
         assertThrows(Violation.class, () -> {
             for (long seed = 1; seed <= 12; seed++) {
-                World world = new World(seed, LEASE / 8);
+                World world = new World(seed, new Day(Day.LEASE / 8, false));
                 world.users(TROUBLED);
                 world.faults(TROUBLED);
                 world.run(TROUBLED);
--- a/src/test/java/org/woadloom/sim/StateStandIn.java
+++ b/src/test/java/org/woadloom/sim/StateStandIn.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import org.woadloom.settings.ServiceSettings;
+import org.woadloom.wire.Cbor;
 
 /** The state service, written from the protocol. */
 final class StateStandIn {
@@ -15,6 +17,9 @@
     }
 
     private final SimLoop loop;
+    private ServiceSettings.State limits;
+    private double writes;
+    private long refilled;
     private final TreeMap<String, Entry> entries = new TreeMap<>();
     private final List<Change> changes = new ArrayList<>();
     private final Map<Long, long[]> grants = new LinkedHashMap<>();
@@ -23,8 +28,9 @@
     private long grantIds;
     boolean down;
 
-    StateStandIn(SimLoop loop) {
+    StateStandIn(SimLoop loop, ServiceSettings.State limits) {
         this.loop = loop;
+        this.limits = limits;
     }
 
     interface Answer {
@@ -43,6 +49,30 @@
         }
     }
 
+    /** From now on the announced limits hold. */
+    void nextLimits() {
+        limits = limits.next();
+    }
+
+    private boolean tooLarge(List<?> changes) {
+        for (Object item : changes) {
+            if (Cbor.toJson(((Map<?, ?>) item).get("value")).length() > limits.valueBytes()) {
+                return true;
+            }
+        }
+        return changes.size() > limits.txnOps();
+    }
+
+    private boolean tooFast(int changes) {
+        writes = Math.max(0, writes - (loop.now() - refilled) / 1e6 * limits.writeRps());
+        refilled = loop.now();
+        if (writes + changes > limits.writeRps()) {
+            return true;
+        }
+        writes += changes;
+        return false;
+    }
+
     Map<String, Object> value(String path) {
         Entry entry = entries.get(path);
         @SuppressWarnings("unchecked")
@@ -156,6 +186,14 @@
     }
 
     private void txn(Map<String, Object> body, Answer answer) {
+        if (tooFast(((List<?>) body.get("then")).size())) {
+            answer.answer(429, Map.of("error", "too many changes"));
+            return;
+        }
+        if (tooLarge((List<?>) body.get("then")) || ((List<?>) body.get("if")).size() > 4 * limits.txnOps()) {
+            answer.answer(400, Map.of("error", "too large"));
+            return;
+        }
         List<Object> failed = new ArrayList<>();
         for (Object item : (List<?>) body.get("if")) {
             Map<?, ?> condition = (Map<?, ?>) item;
--- a/src/test/java/org/woadloom/sim/Truth.java
+++ b/src/test/java/org/woadloom/sim/Truth.java
@@ -23,6 +23,8 @@
     private final Map<TaskId, WorkerStandIn> on = new LinkedHashMap<>();
     private final Set<TaskId> done = new HashSet<>();
     int starts;
+    /** Starts of tasks whose job waited for others. */
+    int releases;
 
     Truth(SimLoop loop, ServiceSettings settings) {
         this.loop = loop;
@@ -32,6 +34,12 @@
     void started(TaskId task, WorkerStandIn worker) {
         starts++;
         JobDescription job = submitted.get(task.uid());
+        for (String before : job.awaits()) {
+            if (!allDone(before)) {
+                throw new Violation("too_early", task + " starts before " + before + " is done");
+            }
+            releases++;
+        }
         WorkerStandIn other = on.get(task);
         if (other != null && other != worker) {
             throw new Violation("ran_twice", task + " starts on " + worker.host + " while on " + other.host);
@@ -120,16 +128,20 @@
         if (before != null && toldFinalAt.get(uid) < sent && !before.equals(said)) {
             throw new Violation("went_back", uid + " was " + before + " and is " + said);
         }
+        if (said.equals("queued") || said.equals("running")) {
+            Long told = cancelledBefore(uid);
+            if (told != null && told + settings.workers().cancelMicros() < sent) {
+                throw new Violation("orphaned", uid + " is " + said);
+            }
+        }
         if (said.equals("done")) {
-            for (int i = 0; i < submitted.get(uid).shards(); i++) {
-                if (!done.contains(new TaskId(uid, i))) {
-                    throw new Violation("not_done", uid + "/" + i);
-                }
+            if (!allDone(uid)) {
+                throw new Violation("not_done", uid);
             }
             toldFinal.put(uid, said);
             toldFinalAt.putIfAbsent(uid, loop.now());
         } else if (said.equals("cancelled")) {
-            if (!askedToCancel.contains(uid)) {
+            if (!mayBeCancelled(uid)) {
                 throw new Violation("went_back", uid + " is called cancelled by itself");
             }
             toldFinal.put(uid, said);
@@ -138,6 +150,43 @@
         }
     }
 
+    private boolean allDone(String uid) {
+        for (int i = 0; i < submitted.get(uid).shards(); i++) {
+            if (!done.contains(new TaskId(uid, i))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** When a user was told first that a job before this one is cancelled; null if none was. */
+    private Long cancelledBefore(String uid) {
+        Long first = null;
+        for (String before : submitted.get(uid).awaits()) {
+            Long told = toldCancelled.get(before);
+            if (told == null) {
+                told = cancelledBefore(before);
+            }
+            // What names a cancelled job has its time from its own acceptance.
+            told = told == null ? null : (Long) Math.max(told, accepted.getOrDefault(uid, Long.MAX_VALUE / 2));
+            first = first == null || told != null && told < first ? told : first;
+        }
+        return first;
+    }
+
+    /** True if its user, or the user of a job before it that is not done, asked for that. */
+    private boolean mayBeCancelled(String uid) {
+        if (askedToCancel.contains(uid)) {
+            return true;
+        }
+        for (String before : submitted.get(uid).awaits()) {
+            if (mayBeCancelled(before) && !allDone(before)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     boolean isOver(String uid) {
         return toldFinal.containsKey(uid);
     }
--- a/src/test/java/org/woadloom/sim/World.java
+++ b/src/test/java/org/woadloom/sim/World.java
@@ -32,7 +32,7 @@
     private final StateStandIn state;
     private final CloudStandIn cloud;
     private final Member[] members = new Member[NODES];
-    private final long leaseForNodes;
+    private final Day day;
     /** While set, the two zones can't reach each other; the state service and the cloud belong to neither. */
     private boolean cut;
     /** While set, no node takes connections from another. */
@@ -49,6 +49,8 @@
     private final class Member {
         final int index;
         boolean alive;
+        /** True while the process is a stand-in for version 1. */
+        boolean old;
         int life;
         Node node;
         Peers peers;
@@ -63,7 +65,7 @@
             NodeLoop nodeLoop = new NodeLoop(this, mine);
             peers = new Peers(this, mine);
             node = new Node(nodeLoop, (address, method, path, body, timeout, callback) -> fromNode(this, mine, address,
-                    method, path, body, timeout, callback), peers, settingsOf(index, leaseForNodes),
+                    method, path, body, timeout, callback), peers, settingsOf(index, day.leaseForNodes()),
                     OperatorSettings.defaults(), new Random(random.nextLong()));
             node.start();
         }
@@ -169,7 +171,11 @@
             if (!other.alive || !connected[other.index] || random.nextInt(1000) < trouble) {
                 return;
             }
-            byte[] frame = codec.encode(message);
+            PeerMessage sent = message;
+            if (other.old && message instanceof PeerMessage.Hint hint) {
+                sent = new PeerMessage.Hint(Cbor.encode(ProductionFilter.record(decode(hint.record()))), hint.stamp());
+            }
+            byte[] frame = codec.encode(sent);
             byte[] content = java.util.Arrays.copyOfRange(frame, 4, frame.length);
             int life = other.life;
             loop.after(delay(), () -> {
@@ -184,19 +190,16 @@
         }
     }
 
-    /**
-     * @param leaseForNodes the lease that the nodes are told of; less than the workers' real one breaks the service on
-     *     purpose
-     */
-    World(long seed, long leaseForNodes) {
+    World(long seed, Day day) {
         random = new Random(seed);
-        this.leaseForNodes = leaseForNodes;
+        this.day = day;
         settings = settingsOf(0, 10_000_000);
         truth = new Truth(loop, settings);
-        state = new StateStandIn(loop);
+        state = new StateStandIn(loop, settings.state());
         cloud = new CloudStandIn(this);
         for (int i = 0; i < NODES; i++) {
             members[i] = new Member(i);
+            members[i].old = day.upgrade();
         }
         for (Member member : members) {
             loop.after(random.nextInt(500_000), member::start);
@@ -221,7 +224,8 @@
         return new ServiceSettings(label(index), YARDS[index], "0:1", "0:2", peers, "cloud", "state", List.of("a", "b"),
                 List.of(new Team("red", 40, 60, 0, 0), new Team("blue", 24, 30, 0, 0)), List.of(),
                 new ServiceSettings.Workers(1_500_000, lease, 30_000_000),
-                new ServiceSettings.State(400, 200, 8192, 12, null), new ServiceSettings.Cloud(8, 3_000_000),
+                new ServiceSettings.State(400, 200, 8192, 12,
+                        new ServiceSettings.State(400, 60, 1500, 4, null)), new ServiceSettings.Cloud(8, 3_000_000),
                 new ServiceSettings.Resources(1, 200, 1000));
     }
 
@@ -239,6 +243,8 @@
             Map<String, Object> map = decode(body);
             if (address.equals("state") && member.index == refusedByState) {
                 respond.answer(503, Map.of("error", "trouble"));
+            } else if (address.equals("state") && member.old) {
+                toStateAsOld(method, path, map, respond);
             } else if (address.equals("state")) {
                 state.handle(method, path, map, respond);
             } else if (address.equals("cloud")) {
@@ -249,6 +255,17 @@
         });
     }
 
+    private void toStateAsOld(String method, String path, Map<String, Object> body, StateStandIn.Answer respond) {
+        Map<String, Object> refused = ProductionFilter.refused(path, body);
+        if (refused != null) {
+            respond.answer(refused.containsKey("error") ? 503 : 200, refused);
+            return;
+        }
+        ProductionFilter.checkWritten(path, body);
+        state.handle(method, path, body, (status, answer) -> respond.answer(status,
+                status == 200 ? ProductionFilter.read(answer) : answer));
+    }
+
     private void toWorker(Member member, String address, Map<String, Object> body, StateStandIn.Answer respond) {
         for (WorkerStandIn worker : cloud.machines.values()) {
             if (worker.addr.equals(address) && !worker.dead) {
@@ -338,10 +355,18 @@
         });
     }
 
+    private String newUid() {
+        return String.format("j-%06d", jobs++);
+    }
+
     private void newJob() {
+        newJob(newUid(), random.nextInt(10), List.of(), accepted -> {
+        });
+    }
+
+    /** Submits a job; the last argument hears when it is accepted. */
+    private void newJob(String uid, int kind, List<String> awaits, Runnable1 accepted) {
         Map<String, Object> map = new LinkedHashMap<>();
-        String uid = String.format("j-%06d", jobs++);
-        int kind = random.nextInt(10);
         boolean service = kind < 3;
         boolean gang = kind == 3;
         map.put("uid", uid);
@@ -349,8 +374,9 @@
         map.put("crew", random.nextBoolean() ? "red" : "blue");
         map.put("shape", service ? "service" : gang ? "group" : "batch");
         map.put("rank", service ? "critical" : random.nextBoolean() ? "high" : "standard");
-        map.put("shards", (long) (service ? 1 + random.nextInt(3) : 1 + random.nextInt(gang ? 4 : 9)));
-        map.put("vcpus", service ? 1.0 : (double) (1 << random.nextInt(4)));
+        map.put("shards", (long) (service ? 1 + random.nextInt(3) : kind == 4 && day.upgrade() ? 20 + random.nextInt(100)
+                : 1 + random.nextInt(gang ? 4 : 9)));
+        map.put("vcpus", service || kind == 4 && day.upgrade() ? 1.0 : (double) (1 << random.nextInt(4)));
         map.put("cards", 0.0);
         map.put("ramGb", 2.0);
         map.put("bundle", "img-" + random.nextInt(4));
@@ -361,29 +387,109 @@
         map.put("apart", service && map.get("yard") == null && !(Boolean) map.get("samePlace"));
         map.put("reclaimable", !service);
         map.put("runtimeS", service ? 0.0 : 2.0 + random.nextInt(15));
+        if (!awaits.isEmpty()) {
+            map.put("awaits", awaits);
+        }
         try {
             truth.submitting(JobDescription.parse(map));
         } catch (WireException e) {
             throw new IllegalStateException(e);
         }
-        submit(uid, map, loop.now() + 60_000_000);
+        submit(uid, map, loop.now() + 60_000_000, accepted);
         if (service || random.nextInt(12) == 0) {
             loop.after(5_000_000 + random.nextInt(60_000_000), () -> cancel(uid));
         }
     }
 
-    private void submit(String uid, Map<String, Object> job, long until) {
+    private interface Runnable1 {
+        void accepted(String uid);
+    }
+
+    private void submit(String uid, Map<String, Object> job, long until, Runnable1 accepted) {
         long sent = loop.now();
         toNode("users", random.nextInt(NODES), "POST", "/v1/jobs", job, 5_000_000, (status, body) -> {
             truth.answered("submit", uid, sent, status, body);
             if (status == 200 || status == 201) {
                 poll(uid);
+                accepted.accepted(uid);
             } else if (loop.now() < until) {
-                loop.after(1_000_000, () -> submit(uid, job, until));
+                loop.after(1_000_000, () -> submit(uid, job, until, accepted));
             }
         });
     }
 
+    /** Submits pipelines until the given time. */
+    private void pipelines(long until) {
+        loop.after(500_000 + random.nextInt(6_000_000), () -> {
+            if (loop.now() < until) {
+                pipeline();
+                pipelines(until);
+            }
+        });
+    }
+
+    /**
+     * A chain with branches, each job submitted once those before it are accepted. Some name jobs that were there before,
+     * some have their last job only much later, and any job may be cancelled at any time.
+     */
+    private void pipeline() {
+        List<String> before = new ArrayList<>();
+        List<String> earlier = new ArrayList<>(truth.acceptedJobs());
+        earlier.removeIf(uid -> truth.submitted.get(uid).service());
+        if (random.nextInt(3) == 0 && !earlier.isEmpty()) {
+            before.add(earlier.get(random.nextInt(earlier.size())));
+        }
+        stage(before, 1 + random.nextInt(5));
+    }
+
+    private void stage(List<String> before, int left) {
+        if (left == 0) {
+            return;
+        }
+        int width = 1 + random.nextInt(3);
+        List<String> accepted = new ArrayList<>();
+        for (int i = 0; i < width; i++) {
+            String uid = newUid();
+            List<String> awaits = new ArrayList<>(before);
+            if (awaits.size() > 1 && random.nextBoolean()) {
+                awaits.remove(random.nextInt(awaits.size()));
+            }
+            newJob(uid, 4 + random.nextInt(6), awaits, known -> {
+                accepted.add(known);
+                if (accepted.size() == width) {
+                    List<String> next = new ArrayList<>(accepted);
+                    if (random.nextInt(3) == 0) {
+                        next.addAll(before);
+                    }
+                    long late = left == 2 && random.nextInt(4) == 0 ? random.nextInt(60_000_000) : 1;
+                    loop.after(late, () -> stage(next, left - 1));
+                }
+            });
+            if (random.nextInt(10) == 0) {
+                loop.after(random.nextInt(40_000_000), () -> cancel(uid));
+            }
+        }
+    }
+
+    /** Replaces the nodes by the new version, one by one; then the limits fall, and users know of pipelines. */
+    void upgrade(long until) {
+        long at = 15_000_000 + random.nextInt(20_000_000);
+        for (Member member : members) {
+            loop.after(at, () -> {
+                member.kill();
+                loop.after(500_000 + random.nextInt(4_000_000), () -> {
+                    member.old = false;
+                    if (!member.alive) {
+                        member.start();
+                    }
+                });
+            });
+            at += 1_000_000 + random.nextInt(random.nextInt(4) == 0 ? 40_000_000 : 10_000_000);
+        }
+        loop.after(at + 5_000_000, () -> pipelines(until));
+        loop.after(at + random.nextInt(40_000_000), state::nextLimits);
+    }
+
     private void poll(String uid) {
         long sent = loop.now();
         toNode("users", random.nextInt(NODES), "GET", "/v1/jobs/" + uid, null, 2_000_000, (status, body) -> {
@@ -469,7 +575,12 @@
     private void restart(Member member) {
         if (member.alive) {
             member.kill();
-            loop.after(500_000 + random.nextInt(5_000_000), member::start);
+            int mine = member.life;
+            loop.after(500_000 + random.nextInt(5_000_000), () -> {
+                if (!member.alive && member.life == mine) {
+                    member.start();
+                }
+            });
         }
     }
 
