--- a/src/main/java/org/woadloom/cli/CheckCommand.java
+++ b/src/main/java/org/woadloom/cli/CheckCommand.java
@@ -41,6 +41,12 @@
         System.out.printf("at most %d workers and users connected at a time (fd_limit), %d tasks of a job placed at once"
                 + " where each has a machine of its own (value_kb)%n", Server.mostInbound(service),
                 RecordSize.tasksApart(service.state().leastValueBytes()));
+        ServiceSettings.State state = service.state();
+        if (state.next() != null) {
+            System.out.printf("the state service may fall from values of %d bytes, %d changes a transaction and %.0f a"
+                    + " second to %d, %d and %.0f%n", state.valueBytes(), state.txnOps(), state.writeRps(),
+                    state.next().valueBytes(), state.next().txnOps(), state.next().writeRps());
+        }
         System.out.print(operator.describe());
         return DONE;
     }
--- a/src/main/java/org/woadloom/core/jobs/Job.java
+++ b/src/main/java/org/woadloom/core/jobs/Job.java
@@ -20,6 +20,9 @@
 
 /** A job that is not over, or that may still have tasks on machines. */
 public final class Job {
+    private static final long PREEMPTION_BACKOFF_MICROS = 1_500_000;
+    private static final long PREEMPTION_MEMORY_MICROS = 30_000_000;
+
     public final JobDescription description;
     public final Room room;
     public final TeamUse team;
@@ -49,6 +52,8 @@
     /** Fits into the team's guarantee together with the team's earlier jobs. */
     public boolean guaranteed;
     public int failures;
+    private int preemptions;
+    private long preemptedMicros = Long.MIN_VALUE / 2;
     public long notBeforeMicros;
     /** Machines on which tasks of the job ended with an error. */
     public final Set<String> failedOn = new LinkedHashSet<>();
@@ -99,12 +104,30 @@
         return dueMicros;
     }
 
+    /** A task of the job is stopped for another job. */
+    public void preempted(long nowMicros) {
+        if (nowMicros == preemptedMicros) {
+            return;
+        }
+        preemptions = nowMicros - preemptedMicros > PREEMPTION_MEMORY_MICROS ? 1 : Math.min(preemptions + 1, 3);
+        preemptedMicros = nowMicros;
+    }
+
+    /**
+     * True for a while after tasks were stopped for others, longer each time: started again in whatever hole there is, they
+     * would be stopped again for the next job of a higher rank, dozens of times.
+     */
+    public boolean backsOff(long nowMicros) {
+        return preemptions > 0 && nowMicros - preemptedMicros < PREEMPTION_BACKOFF_MICROS << preemptions;
+    }
+
     /** What the jobs that need this one ask of it. */
     void inherit(Rank highest, long earliestMicros) {
         Rank before = rank;
         rank = highest.compareTo(description.rank()) > 0 ? highest : description.rank();
         dueMicros = Math.min(ownDueMicros(), earliestMicros);
         if (before != rank) {
+            preemptions = 0;
             placements.values().forEach(placement -> placement.machine.reranked(placement, before));
         }
     }
--- a/src/main/java/org/woadloom/core/placement/Placer.java
+++ b/src/main/java/org/woadloom/core/placement/Placer.java
@@ -45,6 +45,9 @@
         List<Shape> without = new ArrayList<>();
         for (Job job : queue()) {
             boolean holds = reservations.heldFor(job) > 0;
+            if (!holds && !job.description.service() && job.backsOff(world.nowMicros)) {
+                continue;
+            }
             // Without a reservation to draw from, the limit and what others did not find decide at once.
             if (!holds && (job.team.allowed(job.room) < 1 || without.stream().anyMatch(shape -> shape.covers(job)))) {
                 continue;
--- a/src/main/java/org/woadloom/core/placement/Preemption.java
+++ b/src/main/java/org/woadloom/core/placement/Preemption.java
@@ -204,6 +204,7 @@
     }
 
     private void stop(Placement victim) {
+        victim.job.preempted(world.nowMicros);
         if (victim.neverSent()) {
             victim.job.remove(victim);
             victim.job.recording.needs(Recording.Need.OUTCOME);
--- a/src/main/java/org/woadloom/http/JobApi.java
+++ b/src/main/java/org/woadloom/http/JobApi.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.woadloom.settings.ServiceSettings;
 import org.woadloom.settings.Team;
 import org.woadloom.state.FinalRecord;
@@ -30,7 +32,9 @@
  * which never change, are answered from memory.
  */
 public final class JobApi {
+    private static final Logger LOG = LoggerFactory.getLogger(JobApi.class);
     private static final int MAX_CANCEL_TRIES = 6;
+    private static final long SLOW_MICROS = 500_000;
 
     /** Hears of jobs that this node made durable. */
     public interface Hint {
@@ -88,7 +92,20 @@
         this.hint = hint;
     }
 
-    public void submit(byte[] body, Consumer<Response> answer) {
+    /** Logs what its user had to wait for. */
+    private Consumer<Response> timed(String what, Consumer<Response> answer) {
+        long from = loop.nowMicros();
+        return response -> {
+            long took = loop.nowMicros() - from;
+            if (took > SLOW_MICROS) {
+                LOG.info("{} was answered {} after {} ms", what, response.status(), took / 1000);
+            }
+            answer.accept(response);
+        };
+    }
+
+    public void submit(byte[] body, Consumer<Response> unhurried) {
+        Consumer<Response> answer = timed("a submission", unhurried);
         Map<String, Object> map;
         try {
             map = Cbor.decodeMap(body);
@@ -223,6 +240,8 @@
                         answer.accept(Response.of(201, new JobStatus(job.uid(), "queued", -1, 0).toMap()));
                     } else if (result == Result.CONFLICT) {
                         refuseUnlessKnown(job.uid(), Response.unavailable("the job changed meanwhile"), answer);
+                    } else if (result == Result.BAD) {
+                        refuseUnlessKnown(job.uid(), Response.error(400, "the job's description is too long"), answer);
                     } else {
                         answer.accept(Response.unavailable("the state service does not answer"));
                     }
@@ -240,17 +259,26 @@
             } else if (looked.status() == null) {
                 answer.accept(Response.error(404, "no such job"));
             } else {
-                answer.accept(Response.of(200, looked.status().toMap()));
+                answer.accept(Response.of(200, shown(looked)));
             }
         });
     }
 
+    /** A job's status, with the jobs that it waits for. */
+    private static Map<String, Object> shown(Looked looked) {
+        Map<String, Object> map = looked.status().toMap();
+        if (looked.record != null && !looked.record.cancelled() && !looked.record.description().awaits().isEmpty()) {
+            map.put("awaits", looked.record.description().awaits());
+        }
+        return map;
+    }
+
     public void cancel(String uid, Consumer<Response> answer) {
         if (!JobDescription.isUid(uid)) {
             answer.accept(Response.error(404, "no such job"));
             return;
         }
-        cancel(uid, MAX_CANCEL_TRIES, answer);
+        cancel(uid, MAX_CANCEL_TRIES, timed("a cancellation", answer));
     }
 
     private void cancel(String uid, int tries, Consumer<Response> answer) {
--- a/src/main/java/org/woadloom/state/Limits.java
+++ b/src/main/java/org/woadloom/state/Limits.java
@@ -20,14 +20,41 @@
     private int txnOps;
     /** The size of the smallest value that was refused, 0 for none. */
     private int refusedBytes;
-    private double rate = 1;
-    private long lastMicros;
-    private long cutMicros = Long.MIN_VALUE / 2;
+    private final Rate requests;
+    private final Rate writes;
+
+    /** The part of a rate in the settings that the service bears now. */
+    private static final class Rate {
+        private final double announced;
+        private double part = 1;
+        private long lastMicros;
+        private long cutMicros = Long.MIN_VALUE / 2;
+
+        Rate(double now, double next) {
+            announced = Math.min(1, next / now);
+        }
+
+        double part(long now) {
+            part = Math.min(1, part + Math.max(0, now - lastMicros) / 1e6 * REGAIN_PER_SECOND);
+            lastMicros = Math.max(now, lastMicros);
+            return part;
+        }
+
+        void cut(long now) {
+            if (now - cutMicros >= CUT_MICROS) {
+                cutMicros = now;
+                part = part(now) > announced ? announced : Math.max(LOWEST, part * CUT);
+            }
+        }
+    }
 
     public Limits(ServiceSettings.State settings) {
         this.settings = settings;
         this.valueBytes = settings.leastValueBytes();
         this.txnOps = settings.leastTxnOps();
+        ServiceSettings.State next = settings.next() == null ? settings : settings.next();
+        this.requests = new Rate(settings.rps(), next.rps());
+        this.writes = new Rate(settings.writeRps(), next.writeRps());
     }
 
     /** The largest value that is sure to be taken, as far as known. */
@@ -57,20 +84,18 @@
         txnOps = Math.max(2, Math.min(txnOps, ops - 1));
     }
 
-    /** The part of the settings' rates that the service bears now. */
-    public double rate(long now) {
-        rate = Math.min(1, rate + Math.max(0, now - lastMicros) / 1e6 * REGAIN_PER_SECOND);
-        lastMicros = Math.max(now, lastMicros);
-        return rate;
+    /** How many requests a second the service bears now. */
+    public double requestRate(long now) {
+        return settings.rps() * requests.part(now);
     }
 
-    /** A request was refused for coming too fast. */
-    public void tooFast(long now) {
-        if (now - cutMicros < CUT_MICROS) {
-            return;
-        }
-        cutMicros = now;
-        double next = settings.next() == null ? 1 : settings.next().writeRps() / settings.writeRps();
-        rate = Math.max(LOWEST, rate(now) > next ? Math.min(next, rate) : rate * CUT);
+    /** How many changes a second the service bears now. */
+    public double writeRate(long now) {
+        return settings.writeRps() * writes.part(now);
+    }
+
+    /** A request with so many changes was refused for coming too fast. */
+    public void tooFast(long now, int changes) {
+        (changes > 0 ? writes : requests).cut(now);
     }
 }
--- a/src/main/java/org/woadloom/state/StateClient.java
+++ b/src/main/java/org/woadloom/state/StateClient.java
@@ -96,7 +96,6 @@
     private final HttpTransport transport;
     private final Random random;
     private final String address;
-    private final ServiceSettings.State settings;
     private final Limits limits;
     private boolean leads;
     private final int others;
@@ -117,7 +116,6 @@
         this.transport = transport;
         this.random = random;
         this.address = settings.stateAddress();
-        this.settings = settings.state();
         this.limits = limits;
         this.others = Math.max(1, settings.peers().size());
         this.requests = new Budget(1);
@@ -135,9 +133,8 @@
     }
 
     private void pace(long now) {
-        double rate = limits.rate(now);
-        requests.rate(now, settings.rps() * rate * (leads ? LEADER_REQUESTS : OTHERS_REQUESTS / others));
-        writes.rate(now, settings.writeRps() * rate * (leads ? LEADER_WRITES : OTHERS_WRITES / others));
+        requests.rate(now, limits.requestRate(now) * (leads ? LEADER_REQUESTS : OTHERS_REQUESTS / others));
+        writes.rate(now, limits.writeRate(now) * (leads ? LEADER_WRITES : OTHERS_WRITES / others));
     }
 
     /** Answers of the kind 429 or 503, or none at all, counted for the metrics. */
@@ -240,7 +237,7 @@
     public void follow(String prefix, long since, long blockMicros, FollowCallback callback) {
         String path = "/follow?prefix=" + prefix + "&since=" + since + "&blockMs=" + blockMicros / 1000;
         transport.request(address, "GET", path, null, blockMicros + WATCH_GRACE_MICROS, (status, body) -> {
-            answered(status);
+            answered(status, 0);
             if (status == 200) {
                 parsed(body, map -> {
                     Fields f = new Fields(map);
@@ -326,15 +323,15 @@
         transport.request(address, pending.method, pending.path, pending.body, pending.timeoutMicros,
                 (status, body) -> {
                     inFlight--;
-                    answered(status);
+                    answered(status, pending.writeCount);
                     pending.callback.answered(status, body);
                     pump();
                 });
     }
 
-    private void answered(int status) {
+    private void answered(int status, int changes) {
         if (status == 429) {
-            limits.tooFast(loop.nowMicros());
+            limits.tooFast(loop.nowMicros(), changes);
         }
         if (status == 429 || status == 503 || status <= 0) {
             troubles++;
--- a/src/test/java/org/woadloom/sim/LoopbackTest.java
+++ b/src/test/java/org/woadloom/sim/LoopbackTest.java
@@ -93,8 +93,12 @@
     }
 
     private static byte[] job(String crew) {
+        return Cbor.encode(job("j-000412", crew));
+    }
+
+    private static Map<String, Object> job(String uid, String crew) {
         Map<String, Object> map = new LinkedHashMap<>();
-        map.put("uid", "j-000412");
+        map.put("uid", uid);
         map.put("jobclass", "class");
         map.put("crew", crew);
         map.put("shape", "batch");
@@ -103,7 +107,60 @@
         map.put("vcpus", 1.0);
         map.put("ramGb", 1.0);
         map.put("bundle", "img");
-        return Cbor.encode(map);
+        return map;
+    }
+
+    private int submit(String uid, String shape, Object awaits) throws Exception {
+        Map<String, Object> map = job(uid, "team");
+        map.put("shape", shape);
+        map.put("shards", 1L);
+        map.put("awaits", awaits);
+        return ask("POST", "/v1/jobs", Cbor.encode(map)).statusCode();
+    }
+
+    private String status(String uid) throws Exception {
+        return (String) Cbor.decodeMap(ask("GET", "/v1/jobs/" + uid, null).body()).get("status");
+    }
+
+    @Test
+    void jobsAwaitOthersOnceEveryNodeRunsThisVersion() throws Exception {
+        start();
+        int accepted = 503;
+        for (int i = 0; accepted == 503 && i < 5_000; i++) {
+            accepted = submit("j-1", "batch", List.of());
+        }
+        assertEquals(201, accepted);
+        assertEquals(201, submit("j-2", "service", null));
+        // The other node that the settings name has not said what it runs.
+        assertEquals(503, submit("j-3", "batch", List.of("j-1")));
+        state.handle("POST", "/txn", Map.of("if", List.of(), "then", List.of(Map.of("put", "version/node/other", "value",
+                Map.of("version", 2L)))), (status, answer) -> assertEquals(200, status));
+        int chained = 503;
+        for (int i = 0; chained == 503 && i < 50_000; i++) {
+            chained = submit("j-3", "batch", List.of("j-1", "j-1"));
+        }
+        assertEquals(201, chained);
+        assertEquals(List.of("j-1"), Cbor.decodeMap(ask("GET", "/v1/jobs/j-3", null).body()).get("awaits"));
+        assertEquals(400, submit("j-4", "batch", "j-1"));
+        assertEquals(400, submit("j-4", "batch", List.of(1L)));
+        assertEquals(422, submit("j-4", "batch", List.of("j-9")), "never accepted");
+        assertEquals(422, submit("j-4", "batch", List.of("j-1", "no id")));
+        assertEquals(422, submit("j-4", "batch", List.of("j-4")), "itself");
+        assertEquals(422, submit("j-4", "batch", List.of("j-2")), "a service");
+        assertEquals(404, ask("GET", "/v1/jobs/j-4", null).statusCode());
+        assertEquals(200, submit("j-3", "batch", List.of("j-9")), "a known job stays accepted");
+        assertEquals(201, submit("j-5", "batch", List.of("j-3")));
+        assertEquals(200, ask("POST", "/v1/jobs/j-1/cancel", new byte[0]).statusCode());
+        for (int i = 0; !status("j-5").equals("cancelled") && i < 50_000; i++) {
+            assertEquals("queued", status("j-5"));
+        }
+        assertEquals("cancelled", status("j-3"));
+        assertEquals("cancelled", status("j-5"));
+        assertEquals(201, submit("j-6", "batch", List.of("j-5")), "naming a cancelled job is accepted");
+        for (int i = 0; !status("j-6").equals("cancelled") && i < 50_000; i++) {
+            assertEquals("queued", status("j-6"));
+        }
+        assertEquals("cancelled", status("j-6"));
     }
 
     @Test
