--- /dev/null
+++ b/src/main/java/org/woadloom/node/Letters.java
@@ -0,0 +1,43 @@
+package org.woadloom.node;
+
+import com.google.common.io.ByteStreams;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+import java.util.zip.DeflaterOutputStream;
+import java.util.zip.InflaterInputStream;
+import org.woadloom.wire.Cbor;
+import org.woadloom.wire.Fields;
+import org.woadloom.wire.WireException;
+
+/** Lists as short text: reports say the same words again and again, and a value of the state service may be small. */
+final class Letters {
+    private static final String ITEMS = "items";
+    /** What a list may be at most when it is read: far more than any value holds, so that none fills the memory. */
+    private static final int MOST_BYTES = 512 * 1024;
+
+    private Letters() {
+    }
+
+    static String pack(List<Object> items) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try (DeflaterOutputStream deflater = new DeflaterOutputStream(out)) {
+            deflater.write(Cbor.encode(Map.of(ITEMS, items)));
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+        return Base64.getEncoder().withoutPadding().encodeToString(out.toByteArray());
+    }
+
+    static List<?> unpack(String text) throws WireException {
+        try (InflaterInputStream in = new InflaterInputStream(new ByteArrayInputStream(Base64.getDecoder().decode(text)))) {
+            byte[] bytes = ByteStreams.limit(in, MOST_BYTES).readAllBytes();
+            return new Fields(Cbor.decodeMap(bytes)).list(ITEMS);
+        } catch (IOException | IllegalArgumentException e) {
+            throw new WireException("letter: not a packed list");
+        }
+    }
+}
--- a/src/main/java/org/woadloom/node/Mailbox.java
+++ b/src/main/java/org/woadloom/node/Mailbox.java
@@ -15,6 +15,7 @@
 import org.woadloom.settings.ServiceSettings;
 import org.woadloom.state.Keys;
 import org.woadloom.state.Limits;
+import org.woadloom.state.RecordFormat;
 import org.woadloom.state.StateClient;
 import org.woadloom.state.StateClient.Change;
 import org.woadloom.state.StateClient.Result;
@@ -38,6 +39,9 @@
     /** A letter that lay here for longer, by clocks that are apart a little, is of the past: nobody waits for its answers. */
     private static final long STALE_MICROS = 10_000_000;
     private static final int SLOTS = 8;
+    private static final String REPORTS = "reports";
+    private static final String ANSWERS = "answers";
+    private static final String PACKED = "packed-";
     /** What is around the reports in a letter. */
     private static final int LETTER_BYTES = 200;
 
@@ -50,6 +54,9 @@
     private final StateClient state;
     private final String label;
     private final Limits limits;
+    private final Rollout rollout;
+    /** How much shorter packed reports are than plain ones, by the last letter. */
+    private double packing = 0.25;
     private final ArrayDeque<Parcel> outgoing = new ArrayDeque<>();
     /** Reports that wait for an answer, by machine. */
     private final Map<String, Parcel> waiting = new HashMap<>();
@@ -64,11 +71,13 @@
     private record Parcel(long id, String host, Object report, int size, ParkedReports.Parked sent) {
     }
 
-    Mailbox(Loop loop, StateClient state, ServiceSettings settings, Limits limits) {
+    Mailbox(Loop loop, StateClient state, ServiceSettings settings, Limits limits,
+            Rollout rollout) {
         this.loop = loop;
         this.state = state;
         this.label = settings.label();
         this.limits = limits;
+        this.rollout = rollout;
     }
 
     /** Sends a worker's report; the answer is 503 if none comes while the worker waits. */
@@ -82,7 +91,7 @@
             return;
         }
         Parcel parcel = new Parcel(newId(), host, map, Cbor.jsonSize(map) + 40, report);
-        if (parcel.size + LETTER_BYTES > limits.valueBytesNow()) {
+        if (room(parcel.size) + LETTER_BYTES > limits.valueBytesNow()) {
             answer.accept(Response.unavailable("the report is too long for the state service"));
             return;
         }
@@ -141,20 +150,32 @@
         List<Object> reports = new ArrayList<>();
         int size = LETTER_BYTES;
         // Answers with launches may be longer than the reports, and must fit in the same place.
-        while (!outgoing.isEmpty() && (reports.isEmpty() || size + outgoing.peekFirst().size <= limits.valueBytesNow() / 2)) {
+        int most = limits.valueBytesNow() / (packs() ? 1 : 2);
+        List<Parcel> parcels = new ArrayList<>();
+        int plain = 0;
+        while (!outgoing.isEmpty() && (reports.isEmpty() || size + room(outgoing.peekFirst().size) <= most)) {
             Parcel parcel = outgoing.pollFirst();
-            size += parcel.size;
+            size += room(parcel.size);
+            plain += parcel.size;
+            parcels.add(parcel);
             reports.add(Arrays.asList(parcel.id, parcel.report));
         }
         Map<String, Object> value = new LinkedHashMap<>();
         value.put("id", id);
         value.put("at", loop.wallMicros());
-        value.put("reports", reports);
+        fill(value, REPORTS, reports);
+        packing = packs() ? Math.max(0.05, 1.1 * Cbor.jsonSize(value.get(PACKED + REPORTS)) / plain) : packing;
+        if (packs() && Cbor.jsonSize(value) > limits.valueBytesNow()) {
+            // Now it is known how short they are: they go again, fewer at a time.
+            sendAgain(parcels);
+            return;
+        }
         letters[slot] = id;
         state.txn(Urgency.URGENT, List.of(), List.of(Change.put(Keys.mail(label, slot), value)),
                 (result, generation, failed) -> {
                     if (result == Result.BAD) {
                         limits.refusedValue(Cbor.jsonSize(value));
+                        sendAgain(parcels);
                     }
                     if (result != Result.OK) {
                         LOG.debug("a letter with {} reports was not written: {}", reports.size(), result);
@@ -164,6 +185,46 @@
         loop.schedule(WAIT_MICROS, () -> free(slot, id));
     }
 
+    /** What did not fit goes once more, in smaller letters; a single report that does not fit can't be carried. */
+    private void sendAgain(List<Parcel> parcels) {
+        for (int i = parcels.size() - 1; i >= 0; i--) {
+            Parcel parcel = parcels.get(i);
+            if (waiting.get(parcel.host) != parcel) {
+                continue;
+            }
+            if (parcels.size() > 1) {
+                outgoing.addFirst(parcel);
+            } else {
+                waiting.remove(parcel.host);
+                parcel.sent.answer().accept(Response.unavailable("the report is too long for the state service"));
+            }
+        }
+        flushSoon();
+    }
+
+    /** True once every node can read packed letters. */
+    private boolean packs() {
+        return rollout.format() == RecordFormat.COMPACT;
+    }
+
+    private int room(int size) {
+        return packs() ? (int) (size * packing) + 1 : size;
+    }
+
+    private void fill(Map<String, Object> letter, String what, List<Object> items) {
+        if (packs()) {
+            letter.put(PACKED + what, Letters.pack(items));
+        } else {
+            letter.put(what, items);
+        }
+    }
+
+    /** What a letter holds, or null where it holds something else. */
+    private static List<?> items(Map<String, Object> letter, String what) throws WireException {
+        Fields f = new Fields(letter);
+        return f.has(PACKED + what) ? Letters.unpack(f.text(PACKED + what)) : f.has(what) ? f.list(what) : null;
+    }
+
     private void free(int slot, long id) {
         if (letters[slot] == id) {
             letters[slot] = 0;
@@ -208,13 +269,14 @@
     }
 
     private void answered(String path, Map<String, Object> value) {
-        if (!value.containsKey("answers")) {
-            return;
-        }
         try {
             Fields f = new Fields(value);
+            List<?> answers = items(value, ANSWERS);
+            if (answers == null) {
+                return;
+            }
             free((int) Long.parseLong(path.substring(Keys.mailOf(label).length())), f.integer("id"));
-            for (Object item : f.list("answers")) {
+            for (Object item : answers) {
                 if (!(item instanceof List<?> parts) || parts.size() != 4 || !(parts.get(0) instanceof Long id)
                         || !(parts.get(1) instanceof String host) || !(parts.get(2) instanceof Long status)) {
                     throw new WireException("answers: expected id, machine, status and body");
@@ -275,13 +337,13 @@
     }
 
     private void letter(String path, Map<String, Object> value, Decider decider) {
-        if (!value.containsKey("reports")) {
-            return;
-        }
         try {
             Fields f = new Fields(value);
+            List<?> reports = items(value, REPORTS);
+            if (reports == null) {
+                return;
+            }
             long id = f.integer("id");
-            List<?> reports = f.list("reports");
             if (Math.abs(loop.wallMicros() - f.integer("at")) > STALE_MICROS || reports.isEmpty()) {
                 return;
             }
@@ -314,18 +376,14 @@
 
     /** Answers that don't fit are left out: their workers report again. */
     private void reply(String path, long id, List<Object> all) {
-        List<Object> answers = new ArrayList<>();
-        int size = LETTER_BYTES;
-        for (Object answer : all) {
-            size += Cbor.jsonSize(answer) + 1;
-            if (size > limits.valueBytesNow()) {
-                break;
-            }
-            answers.add(answer);
-        }
+        List<Object> answers = new ArrayList<>(all);
         Map<String, Object> value = new LinkedHashMap<>();
         value.put("id", id);
-        value.put("answers", answers);
+        fill(value, ANSWERS, answers);
+        while (Cbor.jsonSize(value) > limits.valueBytesNow() && !answers.isEmpty()) {
+            answers.subList(answers.size() * 3 / 4, answers.size()).clear();
+            fill(value, ANSWERS, answers);
+        }
         state.txn(Urgency.URGENT, List.of(), List.of(Change.put(path, value)), (result, generation, failed) -> {
             if (result == Result.BAD) {
                 limits.refusedValue(Cbor.jsonSize(value));
