--- a/src/main/java/org/woadloom/core/Command.java
+++ b/src/main/java/org/woadloom/core/Command.java
@@ -45,7 +45,7 @@
     }
 
     /** What the state service takes, and how records are written, from now on. */
-    record StorageSeen(int valueBytes, RecordFormat format) implements Command {
+    record StorageSeen(int valueBytes, RecordFormat format, double writesPerSecond) implements Command {
     }
 
     /** A machine's record as read after a write without a clear outcome; null where there is none. */
--- a/src/main/java/org/woadloom/core/Core.java
+++ b/src/main/java/org/woadloom/core/Core.java
@@ -35,6 +35,7 @@
     private List<MachineType> types = List.of();
     private int valueBytes;
     private RecordFormat format = RecordFormat.PLAIN;
+    private double writesPerSecond;
     private Leadership leadership;
 
     /** The parts that exist only while this node leads. */
@@ -105,9 +106,11 @@
             } else if (command instanceof Command.StorageSeen seen) {
                 valueBytes = seen.valueBytes();
                 format = seen.format();
+                writesPerSecond = seen.writesPerSecond();
                 if (leadership != null) {
                     leadership.world.valueBytes = valueBytes;
                     leadership.world.format = format;
+                    leadership.world.writes.rate(writesPerSecond);
                     leadership.world.placementWorthTrying = true;
                 }
             } else if (command instanceof Command.TypesSeen seen) {
@@ -132,6 +135,7 @@
 
     private void takeOver(long nowMicros, long wallMicros, Command.Lead lead) {
         World world = new World(settings, valueBytes, format, lead.term(), nowMicros, wallMicros);
+        world.writes.rate(writesPerSecond);
         leadership = new Leadership(world);
         for (Command.StoredMachine machine : lead.machines()) {
             leadership.machines.load(machine);
@@ -200,6 +204,7 @@
             l.preemption.makeRoom(queue);
         }
         l.capacity.review();
+        world.writes.refill(world.nowMicros);
         l.recorder.emitWrites();
         l.machines.emitWrites();
         l.directs.emitSends();
--- a/src/main/java/org/woadloom/core/CoreSettings.java
+++ b/src/main/java/org/woadloom/core/CoreSettings.java
@@ -8,11 +8,11 @@
 
 /** What the core is told of the deployment. */
 public record CoreSettings(List<Team> teams, List<Objective> objectives, long reportMicros, long leaseMicros, long cancelMicros,
-        double writesPerSecond, long listLagMicros, OperatorSettings operator) {
+        long listLagMicros, OperatorSettings operator) {
 
     public static CoreSettings of(ServiceSettings settings, OperatorSettings operator) {
         return new CoreSettings(settings.teams(), settings.objectives(), settings.workers().reportMicros(), settings.workers().leaseMicros(),
-                settings.workers().cancelMicros(), settings.state().writeRps(),
+                settings.workers().cancelMicros(),
                 settings.cloud().listLagMicros(),
                 operator);
     }
--- a/src/main/java/org/woadloom/core/World.java
+++ b/src/main/java/org/woadloom/core/World.java
@@ -27,6 +27,7 @@
     public final Pipelines pipelines = new Pipelines(this);
     /** The largest value that the state service takes, and the format of the records that must fit. */
     public int valueBytes;
+    public final WriteBudget writes = new WriteBudget();
     public RecordFormat format;
     public final Map<String, MachineType> types = new LinkedHashMap<>();
     /** Zones in which no machine of the ordinary kinds was to be had lately. */
--- a/src/main/java/org/woadloom/core/jobs/Recorder.java
+++ b/src/main/java/org/woadloom/core/jobs/Recorder.java
@@ -1,6 +1,8 @@
 package org.woadloom.core.jobs;
 
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
 import org.woadloom.core.Command;
 import org.woadloom.core.Effect;
 import org.woadloom.core.World;
@@ -13,20 +15,16 @@
     private static final long RETRY_MICROS = 150_000;
     private static final long TOO_LARGE_MICROS = 1_000_000;
 
-    /** The parts of the state service's limit on changes that launches and outcomes may use before they are gathered. */
-    private static final double LAUNCH_SHARE = 0.35;
-    private static final double OUTCOME_SHARE = 0.25;
-    /** While less than this part of the limit was used in the last second, nothing waits for others. */
-    private static final double UNHURRIED_SHARE = 0.3;
+    /** How much sooner than by its turn a launch is written. */
+    private static final long LAUNCH_AHEAD_MICROS = 2_000_000;
+
+    /** Ends and cancellations first, then what was written longest ago, launches with a start: no completion starves. */
+    private static final Comparator<Job> ORDER = Comparator.comparing((Job job) -> !job.over())
+            .thenComparingLong(job -> job.recording.lastWriteMicros
+                    - (job.recording.need == Recording.Need.LAUNCH ? LAUNCH_AHEAD_MICROS : 0));
 
     private final World world;
     private final JobTable table;
-    /** How many jobs had something of each kind to write when last looked at. */
-    private int launching;
-    /** Writes of about the last second. */
-    private double recent;
-    private long lastMicros;
-    private int changing;
 
     public Recorder(World world, JobTable table) {
         this.world = world;
@@ -34,16 +32,9 @@
     }
 
     public void emitWrites() {
-        int launchesNow = 0;
-        int changesNow = 0;
-        int written = 0;
+        List<Job> due = new ArrayList<>();
         for (Job job : world.jobs.values()) {
             Recording recording = job.recording;
-            if (recording.need == Recording.Need.LAUNCH) {
-                launchesNow++;
-            } else if (recording.need != Recording.Need.NONE) {
-                changesNow++;
-            }
             if (recording.need == Recording.Need.NONE && !recording.reading || world.nowMicros < recording.retryMicros) {
                 continue;
             }
@@ -53,50 +44,45 @@
                     recording.retryMicros = world.nowMicros + RETRY_MICROS;
                     world.emit(new Effect.ReadJob(job.uid()));
                 }
-                continue;
-            }
-            if (recording.writing != 0 || !due(job)) {
-                continue;
+            } else if (recording.writing == 0 && due(job)) {
+                due.add(job);
             }
-            written++;
-            if (job.over() && job.placements().isEmpty()) {
-                recording.finishing = true;
-                long version = recording.begin(world.nowMicros, job.allDone());
-                world.emit(new Effect.FinishJob(
-                        new FinalRecord(job.uid(), job.cancelled, job.done.cardinality(), world.wallMicros,
-                                job.description.service()), recording.stamp, version));
-            } else {
-                boolean urgent = recording.need == Recording.Need.LAUNCH;
-                long version = recording.begin(world.nowMicros, job.allDone());
-                world.emit(new Effect.PutJob(job.toRecord(world.term, version), recording.stamp, urgent));
+        }
+        if (due.size() > 1) {
+            due.sort(ORDER);
+        }
+        for (Job job : due) {
+            if (job.over() ? world.writes.allowsEnd() : world.writes.allowsJob()) {
+                write(job);
             }
         }
-        recent = recent * Math.exp((lastMicros - world.nowMicros) / 1e6) + written;
-        lastMicros = world.nowMicros;
-        launching = launchesNow;
-        changing = changesNow;
     }
 
-    /**
-     * A job's first write goes at once. Where many jobs have something to write, each writes less often and more at a
-     * time: the whole of a record is written for whatever changed in it.
-     */
-    private boolean due(Job job) {
+    private void write(Job job) {
         Recording recording = job.recording;
-        long since = world.nowMicros - recording.lastWriteMicros;
-        return switch (recording.need) {
-            case NONE -> false;
-            case PHASE -> since >= Math.max(PHASE_MICROS, spacing(changing, OUTCOME_SHARE));
-            case OUTCOME -> since >= Math.max(OUTCOME_MICROS, spacing(changing, OUTCOME_SHARE));
-            case LAUNCH -> job.over() || since >= spacing(launching, LAUNCH_SHARE);
-        };
+        if (job.over() && job.placements().isEmpty()) {
+            world.writes.job(2);
+            recording.finishing = true;
+            long version = recording.begin(world.nowMicros, job.allDone());
+            world.emit(new Effect.FinishJob(new FinalRecord(job.uid(), job.cancelled, job.done.cardinality(),
+                    world.wallMicros, job.description.service()), recording.stamp, version));
+        } else {
+            world.writes.job(1);
+            boolean urgent = recording.need == Recording.Need.LAUNCH;
+            long version = recording.begin(world.nowMicros, job.allDone());
+            world.emit(new Effect.PutJob(job.toRecord(world.term, version), recording.stamp, urgent));
+        }
     }
 
-    private long spacing(int jobs, double share) {
-        if (recent < world.settings.writesPerSecond() * UNHURRIED_SHARE) {
-            return 0;
-        }
-        return (long) (jobs * 1e6 / (world.settings.writesPerSecond() * share));
+    /** Outcomes and phases are gathered for a while; whatever the budget does not allow yet is written later, as one. */
+    private boolean due(Job job) {
+        long since = world.nowMicros - job.recording.lastWriteMicros;
+        return switch (job.recording.need) {
+            case NONE -> false;
+            case PHASE -> since >= PHASE_MICROS;
+            case OUTCOME -> since >= OUTCOME_MICROS;
+            case LAUNCH -> true;
+        };
     }
 
     public void written(Command.JobWritten result) {
--- a/src/main/java/org/woadloom/core/machines/MachineTable.java
+++ b/src/main/java/org/woadloom/core/machines/MachineTable.java
@@ -82,6 +82,13 @@
 
     public void emitWrites() {
         List<String> delete = new ArrayList<>();
+        // A machine that is up can take tasks as soon as its record is there; the others have time.
+        for (Machine machine : world.machines.values()) {
+            if (machine.heard() && !machine.recorded && !machine.deleted && !machine.reading && !machine.writing
+                    && world.nowMicros >= machine.retryMicros && world.writes.allowsMachine()) {
+                put(machine);
+            }
+        }
         for (Machine machine : world.machines.values()) {
             if (world.nowMicros < machine.retryMicros || machine.writing) {
                 continue;
@@ -90,13 +97,15 @@
                 machine.writing = true;
                 world.emit(new Effect.ReadMachine(machine.host));
             } else if (machine.deleted) {
-                if (machine.recorded) {
+                if (machine.recorded && world.writes.allowsMachine()) {
+                    world.writes.machine();
                     machine.writing = true;
                     world.emit(new Effect.DropMachine(machine.host, machine.stamp));
                 }
             } else if (!machine.recorded || machine.leaving != machine.leavingRecorded) {
-                machine.writing = true;
-                world.emit(new Effect.PutMachine(machine.toRecord(), machine.stamp));
+                if (world.writes.allowsMachine()) {
+                    put(machine);
+                }
             } else if (machine.leavingRecorded && !machine.deleting && deletable(machine)
                     && delete.size() < MAX_DELETE) {
                 machine.deleting = true;
@@ -109,6 +118,12 @@
         }
     }
 
+    private void put(Machine machine) {
+        world.writes.machine();
+        machine.writing = true;
+        world.emit(new Effect.PutMachine(machine.toRecord(), machine.stamp));
+    }
+
     /** A machine that still answers is emptied first; one that is lost is deleted to get proof. */
     private boolean deletable(Machine machine) {
         return machine.empty() || machine.listedFailed || machine.abandoned || !machine.up()
--- a/src/main/java/org/woadloom/http/JobApi.java
+++ b/src/main/java/org/woadloom/http/JobApi.java
@@ -231,7 +231,7 @@
             refuseUnlessKnown(job.uid(), Response.error(400, "the job's description is too long"), answer);
             return;
         }
-        state.txn(Urgency.URGENT,
+        state.txn(Urgency.USER,
                 List.of(new Condition(Keys.job(job.uid()), 0), new Condition(Keys.finalState(job.uid()), 0)),
                 List.of(Change.put(Keys.job(job.uid()), value)), (result, generation, failed) -> {
                     if (result == Result.OK) {
@@ -292,7 +292,7 @@
             } else {
                 JobRecord cancelled = looked.record.asCancelled();
                 RecordFormat format = looked.format == RecordFormat.COMPACT ? looked.format : storage.format();
-                state.txn(Urgency.URGENT, List.of(new Condition(Keys.job(uid), looked.stamp)),
+                state.txn(Urgency.USER, List.of(new Condition(Keys.job(uid), looked.stamp)),
                         List.of(Change.put(Keys.job(uid), cancelled.toMap(format))), (result, generation, failed) -> {
                             if (result == Result.OK) {
                                 hint.changed(cancelled, generation);
--- a/src/main/java/org/woadloom/node/LeaderDuties.java
+++ b/src/main/java/org/woadloom/node/LeaderDuties.java
@@ -35,6 +35,8 @@
     private static final long RETRY_MICROS = 300_000;
     /** Short, as an answer that gets lost hides cancellations until the watch is opened again. */
     private static final long WATCH_MICROS = 4_000_000;
+    /** A change of the rate by such a part is worth telling. */
+    private static final double NOTABLE = 0.05;
     private static final long MIN_LIST_MICROS = 2_000_000;
 
     /** Takes the answer to a worker's report. */
@@ -55,6 +57,7 @@
     private RecordWriter writer;
     private final Map<Long, ReportAnswer> answers = new HashMap<>();
     private long replies;
+    private double toldWrites;
 
     LeaderDuties(Loop loop, StateClient state, CloudClient cloud, WorkerClient workers, ServiceSettings settings,
             Limits limits, Rollout rollout, java.util.function.Consumer<String> abdicate) {
@@ -92,8 +95,9 @@
 
     /** Tells the core what its records must fit. */
     void tellStorage() {
+        toldWrites = state.writesPerSecond();
         queue.add(new Command.StorageSeen(rollout.format() == RecordFormat.COMPACT ? limits.valueBytes()
-                : limits.valueBytesNow(), rollout.format()));
+                : limits.valueBytesNow(), rollout.format(), toldWrites));
     }
 
     void end() {
@@ -223,6 +227,9 @@
 
     private void tick(long ofTerm) {
         loop.schedule(TICK_MICROS, () -> again(ofTerm, () -> {
+            if (Math.abs(state.writesPerSecond() - toldWrites) > toldWrites * NOTABLE) {
+                tellStorage();
+            }
             queue.add(new Command.Tick());
             tick(ofTerm);
         }));
--- a/src/main/java/org/woadloom/state/StateClient.java
+++ b/src/main/java/org/woadloom/state/StateClient.java
@@ -20,7 +20,7 @@
  */
 public final class StateClient {
     /** Requests of a lower urgency wait while one of a higher is queued. */
-    public enum Urgency { URGENT, NORMAL, BACKGROUND }
+    public enum Urgency { USER, URGENT, NORMAL, BACKGROUND }
 
     public enum Result { OK, NOT_FOUND, CONFLICT, BAD, UNAVAILABLE, UNKNOWN }
 
@@ -132,9 +132,14 @@
         pace(loop.nowMicros());
     }
 
+    /** How many changes a second this node may make now. */
+    public double writesPerSecond() {
+        return limits.writeRate(loop.nowMicros()) * (leads ? LEADER_WRITES : OTHERS_WRITES / others);
+    }
+
     private void pace(long now) {
         requests.rate(now, limits.requestRate(now) * (leads ? LEADER_REQUESTS : OTHERS_REQUESTS / others));
-        writes.rate(now, limits.writeRate(now) * (leads ? LEADER_WRITES : OTHERS_WRITES / others));
+        writes.rate(now, writesPerSecond());
     }
 
     /** Answers of the kind 429 or 503, or none at all, counted for the metrics. */
@@ -285,7 +290,7 @@
             }
             Pending next = queues.get(urgency).peekFirst();
             long wait = Math.max(requests.waitMicros(now, 1), writes.waitMicros(now, next.writeCount));
-            if (urgency != Urgency.URGENT) {
+            if (urgency.compareTo(Urgency.URGENT) > 0) {
                 wait = Math.max(wait, heldUntilMicros - now);
             }
             if (wait > 0) {
--- a/src/test/java/org/woadloom/node/CommandQueueTest.java
+++ b/src/test/java/org/woadloom/node/CommandQueueTest.java
@@ -29,7 +29,7 @@
     private final ArrayDeque<Runnable> soon = new ArrayDeque<>();
     private final List<Effect> effects = new ArrayList<>();
     private final Core core = new Core(new CoreSettings(List.of(new Team("team", 100, 100, 0, 0)), List.of(), 1_500_000, 10_000_000,
-            30_000_000, 100, 3_000_000, OperatorSettings.defaults()));
+            30_000_000, 3_000_000, OperatorSettings.defaults()));
     private final CommandQueue queue = new CommandQueue(new StillLoop(), core, new NodeMetrics(), 10, effects::addAll);
 
     /** Time stands still, and what is put off comes next. */
