--- a/src/test/java/org/woadloom/node/CommandQueueTest.java
+++ b/src/test/java/org/woadloom/node/CommandQueueTest.java
@@ -19,6 +19,7 @@
 import org.woadloom.settings.OperatorSettings;
 import org.woadloom.settings.Team;
 import org.woadloom.state.JobRecord;
+import org.woadloom.state.RecordFormat;
 import org.woadloom.wire.JobDescription;
 import org.woadloom.wire.WireException;
 import org.woadloom.wire.WorkerReport;
@@ -63,6 +64,7 @@
         for (int i = 0; i < JOBS; i++) {
             jobs.add(new Command.StoredJob(record(i), 1));
         }
+        queue.add(new Command.StorageSeen(8192, RecordFormat.PLAIN, 10_000));
         queue.add(new Command.Lead(1, jobs, List.of()));
         int taken = 0;
         for (int i = 0; i < 25; i++) {
