Rates fall below the announced ones where the service bears less

A second refusal within five seconds cut the rate to the announced one again, never below it (found by LimitsTest).

--- a/src/main/java/org/woadloom/node/Rollout.java
+++ b/src/main/java/org/woadloom/node/Rollout.java
@@ -114,7 +114,7 @@
         }
         List<String> missing = new ArrayList<>(labels);
         missing.removeIf(node -> versions.getOrDefault(Keys.NODE_VERSIONS + node, 0L) >= VERSION);
-        if (!missing.equals(waitedFor)) {
+        if (!missing.isEmpty() && !missing.equals(waitedFor)) {
             waitedFor = missing;
             LOG.info("version {} is not yet known to run on {}", VERSION, missing);
         }
--- a/src/main/java/org/woadloom/state/Limits.java
+++ b/src/main/java/org/woadloom/state/Limits.java
@@ -14,6 +14,7 @@
     private static final double CUT = 0.85;
     private static final double REGAIN_PER_SECOND = 0.004;
     private static final long CUT_MICROS = 500_000;
+    private static final long LASTING_MICROS = 5_000_000;
 
     private final ServiceSettings.State settings;
     private int valueBytes;
@@ -41,9 +42,11 @@
         }
 
         void cut(long now) {
-            if (now - cutMicros >= CUT_MICROS) {
+            long since = now - cutMicros;
+            if (since >= CUT_MICROS) {
                 cutMicros = now;
-                part = part(now) > announced ? announced : Math.max(LOWEST, part * CUT);
+                // Refused again soon after: the service bears less than was announced.
+                part = part(now) > announced && since > LASTING_MICROS ? announced : Math.max(LOWEST, part * CUT);
             }
         }
     }
