--- a/src/main/java/org/woadloom/cli/CheckCommand.java
+++ b/src/main/java/org/woadloom/cli/CheckCommand.java
@@ -2,6 +2,7 @@
 
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
+import org.woadloom.core.care.CareRules;
 import org.woadloom.core.placement.RecordSize;
 import org.woadloom.node.Server;
 import org.woadloom.settings.OperatorSettings;
@@ -47,6 +48,13 @@
                     + " second to %d, %d and %.0f%n", state.valueBytes(), state.txnOps(), state.writeRps(),
                     state.next().valueBytes(), state.next().txnOps(), state.next().writeRps());
         }
+        CareRules care = CareRules.of(service.workers().leaseMicros(), service.workers().cancelMicros());
+        if (care.worthwhile()) {
+            System.out.printf("in a zone that is cut off work goes on for up to %.1f s, and leases end after that%n",
+                    care.careMicros() / 1e6);
+        } else {
+            System.out.println("in a zone that is cut off leases end: cancel_s leaves no time to renew them in");
+        }
         System.out.print(operator.describe());
         return DONE;
     }
--- a/src/main/java/org/woadloom/core/Command.java
+++ b/src/main/java/org/woadloom/core/Command.java
@@ -1,6 +1,7 @@
 package org.woadloom.core;
 
 import java.util.List;
+import org.woadloom.core.care.NodeStanding;
 import org.woadloom.state.JobRecord;
 import org.woadloom.state.MachineRecord;
 import org.woadloom.state.RecordFormat;
@@ -17,8 +18,13 @@
     record StoredMachine(MachineRecord record, long stamp) {
     }
 
-    /** This node has taken the term and has read every record. */
-    record Lead(long term, List<StoredJob> jobs, List<StoredMachine> machines) implements Command {
+    /**
+     * This node has taken the term and has read every record.
+     *
+     * @param cancellationsSeenMicros the records tell of every cancellation that was made before this moment
+     */
+    record Lead(long term, List<StoredJob> jobs, List<StoredMachine> machines, long cancellationsSeenMicros)
+            implements Command {
     }
 
     /** This node leads no more: everything is forgotten. */
@@ -44,8 +50,16 @@
     record JobFound(String uid, Standing standing, long overWallMicros) implements Command {
     }
 
-    /** What the state service takes, and how records are written, from now on. */
-    record StorageSeen(int valueBytes, RecordFormat format, double writesPerSecond) implements Command {
+    /** What the state service takes, and how records are written, from now on; and whether nodes take care of workers. */
+    record StorageSeen(int valueBytes, RecordFormat format, double writesPerSecond, boolean care) implements Command {
+    }
+
+    /**
+     * A node, this one perhaps, tells how it stands.
+     *
+     * @param cancellationsSeenMicros the core has been told of every cancellation that was made before this moment
+     */
+    record NodeSpoke(String node, NodeStanding standing, long cancellationsSeenMicros) implements Command {
     }
 
     /** A machine's record as read after a write without a clear outcome; null where there is none. */
--- a/src/main/java/org/woadloom/core/Core.java
+++ b/src/main/java/org/woadloom/core/Core.java
@@ -1,7 +1,9 @@
 package org.woadloom.core;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.woadloom.core.capacity.Capacity;
 import org.woadloom.core.jobs.Job;
 import org.woadloom.core.jobs.JobTable;
@@ -36,6 +38,7 @@
     private int valueBytes;
     private RecordFormat format = RecordFormat.PLAIN;
     private double writesPerSecond;
+    private boolean care;
     private Leadership leadership;
 
     /** The parts that exist only while this node leads. */
@@ -107,10 +110,14 @@
                 valueBytes = seen.valueBytes();
                 format = seen.format();
                 writesPerSecond = seen.writesPerSecond();
+                care = seen.care();
                 if (leadership != null) {
                     leadership.world.valueBytes = valueBytes;
                     leadership.world.format = format;
                     leadership.world.writes.rate(writesPerSecond);
+                    if (care) {
+                        leadership.world.warrants.agreed();
+                    }
                     leadership.world.placementWorthTrying = true;
                 }
             } else if (command instanceof Command.TypesSeen seen) {
@@ -136,6 +143,10 @@
     private void takeOver(long nowMicros, long wallMicros, Command.Lead lead) {
         World world = new World(settings, valueBytes, format, lead.term(), nowMicros, wallMicros);
         world.writes.rate(writesPerSecond);
+        world.cancellationsSeenMicros = lead.cancellationsSeenMicros();
+        if (care) {
+            world.warrants.agreed();
+        }
         leadership = new Leadership(world);
         for (Command.StoredMachine machine : lead.machines()) {
             leadership.machines.load(machine);
@@ -151,6 +162,8 @@
     private static void apply(Leadership l, Command command) {
         if (command instanceof Command.Report report) {
             l.reports.report(report);
+        } else if (command instanceof Command.NodeSpoke spoke) {
+            l.machines.nodeSpoke(spoke);
         } else if (command instanceof Command.DirectResult result) {
             l.directs.result(result);
         } else if (command instanceof Command.JobWritten written) {
@@ -210,12 +223,15 @@
         l.directs.emitSends();
     }
 
-    /** A worker that we alone answer, and have not answered for longer than its lease, has killed its tasks. */
+    /** A worker that neither we nor any node in our place answered for longer than its lease has killed its tasks. */
     private static void endLeases(Leadership l) {
         World world = l.world;
+        Map<String, Long> cared = new HashMap<>();
         for (Machine machine : world.machines.values()) {
             if (machine.up() && !machine.deleted
-                    && world.nowMicros - machine.lastAnsweredMicros > world.settings.leaseOverMicros()) {
+                    && world.nowMicros - machine.lastAnsweredMicros > world.settings.leaseOverMicros()
+                    && world.nowMicros - cared.computeIfAbsent(machine.yard, yard -> world.warrants.lastCareMicros(yard,
+                            world.nowMicros)) > world.settings.leaseOverMicros()) {
                 world.note("the lease of " + machine.host + " is over");
                 machine.leastTenure = machine.tenure + 1;
                 l.losses.session(machine, "the lease is over");
--- a/src/main/java/org/woadloom/core/CoreSettings.java
+++ b/src/main/java/org/woadloom/core/CoreSettings.java
@@ -1,24 +1,43 @@
 package org.woadloom.core;
 
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import org.woadloom.core.care.CareRules;
 import org.woadloom.settings.Objective;
 import org.woadloom.settings.OperatorSettings;
 import org.woadloom.settings.ServiceSettings;
 import org.woadloom.settings.Team;
 
-/** What the core is told of the deployment. */
-public record CoreSettings(List<Team> teams, List<Objective> objectives, long reportMicros, long leaseMicros, long cancelMicros,
+/**
+ * What the core is told of the deployment.
+ *
+ * @param label this node
+ * @param nodes all nodes with their zones
+ */
+public record CoreSettings(String label, Map<String, String> nodes, List<Team> teams, List<Objective> objectives, long reportMicros, long leaseMicros, long cancelMicros,
         long listLagMicros, OperatorSettings operator) {
 
+    public CoreSettings {
+        nodes = Map.copyOf(nodes);
+    }
+
     public static CoreSettings of(ServiceSettings settings, OperatorSettings operator) {
-        return new CoreSettings(settings.teams(), settings.objectives(), settings.workers().reportMicros(), settings.workers().leaseMicros(),
+        Map<String, String> nodes = new LinkedHashMap<>();
+        nodes.put(settings.label(), settings.area());
+        settings.peers().forEach(peer -> nodes.put(peer.label(), peer.area()));
+        return new CoreSettings(settings.label(), nodes, settings.teams(), settings.objectives(), settings.workers().reportMicros(), settings.workers().leaseMicros(),
                 settings.workers().cancelMicros(),
                 settings.cloud().listLagMicros(),
                 operator);
     }
 
+    public CareRules care() {
+        return CareRules.of(leaseMicros, cancelMicros);
+    }
+
     /** How long after an answer a worker's lease is certainly over, with clocks that drift and timers that step. */
     public long leaseOverMicros() {
-        return leaseMicros + leaseMicros / 500 + 250_000;
+        return care().leaseOverMicros();
     }
 }
--- a/src/main/java/org/woadloom/core/Effect.java
+++ b/src/main/java/org/woadloom/core/Effect.java
@@ -1,6 +1,7 @@
 package org.woadloom.core;
 
 import java.util.List;
+import org.woadloom.core.care.Warrant;
 import org.woadloom.state.FinalRecord;
 import org.woadloom.state.JobRecord;
 import org.woadloom.state.MachineRecord;
@@ -45,6 +46,10 @@
     record Delete(List<String> hosts) implements Effect {
     }
 
+    /** Answer a node that told how it stands. */
+    record GiveWarrant(String node, Warrant warrant) implements Effect {
+    }
+
     /** The core has seen proof that another node leads. */
     record Abdicate(String reason) implements Effect {
     }
--- a/src/main/java/org/woadloom/core/World.java
+++ b/src/main/java/org/woadloom/core/World.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.woadloom.core.care.Warrants;
 import org.woadloom.core.jobs.Arrivals;
 import org.woadloom.core.jobs.Job;
 import org.woadloom.core.jobs.Pipelines;
@@ -27,6 +28,9 @@
     public final Pipelines pipelines = new Pipelines(this);
     /** The largest value that the state service takes, and the format of the records that must fit. */
     public int valueBytes;
+    public final Warrants warrants;
+    /** Every cancellation that was made before this moment has been seen. */
+    public long cancellationsSeenMicros = Long.MIN_VALUE;
     public final WriteBudget writes = new WriteBudget();
     public RecordFormat format;
     public final Map<String, MachineType> types = new LinkedHashMap<>();
@@ -49,6 +53,7 @@
         this.startedMicros = nowMicros;
         this.nowMicros = nowMicros;
         this.wallMicros = wallMicros;
+        warrants = new Warrants(settings.care(), term, settings.label(), settings.nodes());
         for (Team team : settings.teams()) {
             teams.put(team.name(), new TeamUse(team));
         }
--- a/src/main/java/org/woadloom/core/capacity/Capacity.java
+++ b/src/main/java/org/woadloom/core/capacity/Capacity.java
@@ -346,9 +346,11 @@
 
     /** A worker that is silent for longer than a lease has lost its tasks; deleting the machine proves it. */
     private boolean lost(Machine machine) {
+        // In a zone that is cut off leases may be renewed by a node there, and the machines come back with their work.
+        long over = world.settings.leaseOverMicros() + world.warrants.patienceMicros(machine.yard, world.nowMicros);
         if (!machine.heard()) {
-            return !machine.empty() && silence(machine) > world.settings.leaseOverMicros() + 2_000_000;
+            return !machine.empty() && silence(machine) > over + 2_000_000;
         }
-        return silence(machine) > world.settings.leaseOverMicros() + 20_000_000;
+        return silence(machine) > over + 20_000_000;
     }
 }
--- /dev/null
+++ b/src/main/java/org/woadloom/core/care/Caretaker.java
@@ -0,0 +1,83 @@
+package org.woadloom.core.care;
+
+/**
+ * When a node that is cut off may renew the leases of its zone's workers by itself. It may while it holds a warrant of
+ * the leader that it has lost, and only after it has heard neither the leader nor the state service for a while, so that
+ * its promises to the leader hold. A process that was started anew holds no warrant.
+ */
+public final class Caretaker {
+    private static final long NEVER = Long.MIN_VALUE / 4;
+
+    private final CareRules rules;
+    private final String yard;
+    private final long life;
+    private final long startedMicros;
+    private long term;
+    private long leaderMicros;
+    private long untilMicros = NEVER;
+    private long contactMicros;
+    private long stateMicros;
+    private boolean stateFails;
+    private long caredMicros = NEVER;
+
+    public Caretaker(CareRules rules, String yard, long life, long nowMicros) {
+        this.rules = rules;
+        this.yard = yard;
+        this.life = life;
+        this.startedMicros = nowMicros;
+        this.contactMicros = nowMicros;
+        this.stateMicros = nowMicros;
+    }
+
+    /** A warrant has come; one of an earlier term is of the past. */
+    public void warranted(Warrant warrant) {
+        if (warrant.term() < term) {
+            return;
+        }
+        if (warrant.term() > term) {
+            untilMicros = NEVER;
+            leaderMicros = warrant.leaderMicros();
+        }
+        term = warrant.term();
+        leaderMicros = Math.max(leaderMicros, warrant.leaderMicros());
+        // By the time when the node spoke, as the answer may have been held up on its way.
+        contactMicros = Math.max(contactMicros, warrant.saidMicros());
+        if (warrant.settledMicros() < Warrant.UNSETTLED) {
+            untilMicros = Math.max(untilMicros, warrant.saidMicros() - warrant.settledMicros() + rules.careMicros());
+        }
+    }
+
+    public void stateAnswered(long nowMicros) {
+        stateMicros = nowMicros;
+        stateFails = false;
+    }
+
+    public void stateFailed() {
+        stateFails = true;
+    }
+
+    /** True while this node has lost the leader and the state service for long enough. */
+    public boolean cutOff(long nowMicros) {
+        return stateFails && nowMicros > careFromMicros();
+    }
+
+    private long careFromMicros() {
+        return Math.max(contactMicros, stateMicros) + rules.patienceMicros();
+    }
+
+    /** Whether to renew a worker's lease; that it is done is remembered for the leader. */
+    public boolean takesCare(String workersYard, long workersTerm, long nowMicros) {
+        if (!rules.worthwhile() || !cutOff(nowMicros) || nowMicros > untilMicros || !workersYard.equals(yard)
+                || workersTerm > term || workersTerm == 0) {
+            return false;
+        }
+        caredMicros = nowMicros;
+        return true;
+    }
+
+    public NodeStanding standing(long nowMicros) {
+        return new NodeStanding(life, nowMicros - startedMicros, nowMicros, term, leaderMicros,
+                Math.max(0, careFromMicros() - nowMicros), caredMicros == NEVER ? -1 : nowMicros - caredMicros,
+                stateFails ? nowMicros - stateMicros : 0);
+    }
+}
--- a/src/main/java/org/woadloom/core/jobs/Job.java
+++ b/src/main/java/org/woadloom/core/jobs/Job.java
@@ -47,6 +47,8 @@
     private final Int2ObjectHashMap<Placement> placements = new Int2ObjectHashMap<>();
     private final Map<String, Integer> perYard = new LinkedHashMap<>();
     public boolean cancelled;
+    /** The job was cancelled at this moment or later. */
+    public long cancelledSinceMicros = Long.MIN_VALUE;
     /** The final state is in the store, and the job is no longer among those of the core. */
     public boolean finished;
     /** Fits into the team's guarantee together with the team's earlier jobs. */
--- a/src/main/java/org/woadloom/core/jobs/JobTable.java
+++ b/src/main/java/org/woadloom/core/jobs/JobTable.java
@@ -138,6 +138,7 @@
 
     private void cancel(Job job) {
         job.cancelled = true;
+        job.cancelledSinceMicros = world.cancellationsSeenMicros;
         world.note("job " + job.uid() + " cancelled");
         world.pipelines.cancelled(job.uid());
         halt(job);
--- a/src/main/java/org/woadloom/core/machines/MachineTable.java
+++ b/src/main/java/org/woadloom/core/machines/MachineTable.java
@@ -5,6 +5,8 @@
 import org.woadloom.core.Command;
 import org.woadloom.core.Effect;
 import org.woadloom.core.World;
+import org.woadloom.core.care.Warrant;
+import org.woadloom.core.jobs.Job;
 import org.woadloom.core.placement.Room;
 import org.woadloom.state.MachineRecord;
 import org.woadloom.wire.ListedMachine;
@@ -80,6 +82,28 @@
         }
     }
 
+    /** A node tells how it stands, and gets a warrant for the zone that it is in. */
+    public void nodeSpoke(Command.NodeSpoke spoke) {
+        world.cancellationsSeenMicros = Math.max(world.cancellationsSeenMicros, spoke.cancellationsSeenMicros());
+        String yard = world.settings.nodes().get(spoke.node());
+        Warrant warrant = yard == null ? null : world.warrants.heard(spoke.node(), spoke.standing(), settled(yard),
+                world.nowMicros);
+        if (warrant != null) {
+            world.emit(new Effect.GiveWarrant(spoke.node(), warrant));
+        }
+    }
+
+    /** Up to this moment every cancellation has been carried out in the zone. */
+    private long settled(String yard) {
+        long settled = world.cancellationsSeenMicros;
+        for (Job job : world.jobs.values()) {
+            if (job.cancelled && job.placedIn(yard) > 0) {
+                settled = Math.min(settled, job.cancelledSinceMicros);
+            }
+        }
+        return settled;
+    }
+
     public void emitWrites() {
         List<String> delete = new ArrayList<>();
         // A machine that is up can take tasks as soon as its record is there; the others have time.
--- /dev/null
+++ b/src/main/java/org/woadloom/node/Care.java
@@ -0,0 +1,123 @@
+package org.woadloom.node;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.woadloom.core.care.CareRules;
+import org.woadloom.core.care.Caretaker;
+import org.woadloom.core.care.NodeStanding;
+import org.woadloom.core.care.Warrant;
+import org.woadloom.core.machines.Machine;
+import org.woadloom.http.Response;
+import org.woadloom.net.Loop;
+import org.woadloom.settings.Peer;
+import org.woadloom.settings.ServiceSettings;
+import org.woadloom.wire.Cbor;
+import org.woadloom.wire.Fields;
+import org.woadloom.wire.WireException;
+
+/** Answers workers in the leader's place while this node is cut off with them, and says when a leader is cut off itself. */
+final class Care {
+    private static final Logger LOG = LoggerFactory.getLogger(Care.class);
+    /** For how long the others must have been without the state service, so that it is down and not this node cut off. */
+    private static final long OUTAGE_MICROS = 4_000_000;
+    private static final long FRESH_MICROS = 2_500_000;
+
+    private final Loop loop;
+    private final CareRules rules;
+    private final Caretaker caretaker;
+    private final List<String> peers = new ArrayList<>();
+    /** What the other nodes last said of themselves, and when. */
+    private final Map<String, Heard> heard = new HashMap<>();
+    private boolean allowed;
+    private long loggedMicros = Long.MIN_VALUE / 2;
+
+    private record Heard(long atMicros, NodeStanding standing) {
+    }
+
+    Care(Loop loop, ServiceSettings settings, Random random) {
+        this.loop = loop;
+        rules = CareRules.of(settings.workers().leaseMicros(), settings.workers().cancelMicros());
+        caretaker = new Caretaker(rules, settings.area(), random.nextLong(), loop.nowMicros());
+        settings.peers().stream().map(Peer::label).forEach(peers::add);
+    }
+
+    /** Every node runs a version that knows of care. */
+    void allow() {
+        allowed = true;
+    }
+
+    void stateAnswered(boolean served) {
+        if (served) {
+            caretaker.stateAnswered(loop.nowMicros());
+        } else {
+            caretaker.stateFailed();
+        }
+    }
+
+    NodeStanding standing() {
+        return caretaker.standing(loop.nowMicros());
+    }
+
+    void stands(String peer, NodeStanding standing) {
+        heard.put(peer, new Heard(loop.nowMicros(), standing));
+    }
+
+    void warranted(Warrant warrant) {
+        caretaker.warranted(warrant);
+    }
+
+    /** True once this node has lost the leader and the state service for long enough to take care, if it may. */
+    boolean cutOff() {
+        return allowed && caretaker.cutOff(loop.nowMicros());
+    }
+
+    /** The answer to a report that finds no leader: the worker's own token and no orders; null where care may not be taken. */
+    Response answer(byte[] report) {
+        long now = loop.nowMicros();
+        if (!cutOff()) {
+            return null;
+        }
+        try {
+            Fields f = new Fields(Cbor.decodeMap(report));
+            long epoch = f.count("epoch");
+            if (!caretaker.takesCare(f.text("yard"), epoch >> Machine.FENCE_BITS, now)) {
+                return null;
+            }
+            if (now - loggedMicros > rules.patienceMicros()) {
+                loggedMicros = now;
+                LOG.info("cut off: taking care of {} and others", f.text("host"));
+            }
+            Map<String, Object> answer = new LinkedHashMap<>();
+            answer.put("epoch", epoch);
+            answer.put("orders", List.of());
+            return Response.of(200, answer);
+        } catch (WireException e) {
+            return null;
+        }
+    }
+
+    /**
+     * Whether this leader, which has read every cancellation before the given moment, must leave its workers to
+     * themselves: others may have told users of cancellations since. While all nodes say that the state service is down,
+     * nobody can have.
+     */
+    boolean mustRest(long cancellationsSeenMicros) {
+        long now = loop.nowMicros();
+        if (!allowed || !rules.worthwhile() || now - cancellationsSeenMicros <= rules.careMicros()) {
+            return false;
+        }
+        for (String peer : peers) {
+            Heard said = heard.get(peer);
+            if (said == null || now - said.atMicros > FRESH_MICROS || said.standing.stateSilentMicros() < OUTAGE_MICROS) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- a/src/main/java/org/woadloom/node/LeaderDuties.java
+++ b/src/main/java/org/woadloom/node/LeaderDuties.java
@@ -4,11 +4,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.woadloom.cloud.CloudClient;
 import org.woadloom.core.Command;
 import org.woadloom.core.Effect;
+import org.woadloom.core.care.NodeStanding;
+import org.woadloom.core.care.Warrant;
 import org.woadloom.leader.RecordWriter;
 import org.woadloom.net.Loop;
 import org.woadloom.settings.ServiceSettings;
@@ -52,15 +55,19 @@
     private final Limits limits;
     private final Rollout rollout;
     private final java.util.function.Consumer<String> abdicate;
+    private final BiConsumer<String, Warrant> warrants;
     private CommandQueue queue;
     private long term;
     private RecordWriter writer;
     private final Map<Long, ReportAnswer> answers = new HashMap<>();
     private long replies;
     private double toldWrites;
+    /** Every cancellation that was made before this moment has been read. */
+    private long cancellationsSeenMicros;
 
     LeaderDuties(Loop loop, StateClient state, CloudClient cloud, WorkerClient workers, ServiceSettings settings,
-            Limits limits, Rollout rollout, java.util.function.Consumer<String> abdicate) {
+            Limits limits, Rollout rollout, java.util.function.Consumer<String> abdicate,
+            BiConsumer<String, Warrant> warrants) {
         this.loop = loop;
         this.state = state;
         this.cloud = cloud;
@@ -69,6 +76,7 @@
         this.limits = limits;
         this.rollout = rollout;
         this.abdicate = abdicate;
+        this.warrants = warrants;
     }
 
     void attach(CommandQueue commands) {
@@ -97,7 +105,7 @@
     void tellStorage() {
         toldWrites = state.writesPerSecond();
         queue.add(new Command.StorageSeen(rollout.format() == RecordFormat.COMPACT ? limits.valueBytes()
-                : limits.valueBytesNow(), rollout.format(), toldWrites));
+                : limits.valueBytesNow(), rollout.format(), toldWrites, rollout.care()));
     }
 
     void end() {
@@ -110,6 +118,18 @@
         queue.add(new Command.StepDown());
     }
 
+    /** Every cancellation that was made before this moment has been read. */
+    long cancellationsSeenMicros() {
+        return cancellationsSeenMicros;
+    }
+
+    /** A node, this one perhaps, tells how it stands. */
+    void nodeSpoke(String node, NodeStanding standing) {
+        if (ready()) {
+            queue.add(new Command.NodeSpoke(node, standing, cancellationsSeenMicros));
+        }
+    }
+
     void report(WorkerReport report, ReportAnswer answer) {
         long id = ++replies;
         answers.put(id, answer);
@@ -148,6 +168,7 @@
     }
 
     private void loadJobs(long ofTerm, long leaderStamp, List<Command.StoredMachine> machines) {
+        long asked = loop.nowMicros();
         state.list(Urgency.URGENT, Keys.JOBS, (result, entries, generation) -> {
             if (term != ofTerm) {
                 return;
@@ -167,7 +188,8 @@
             writer = new RecordWriter(state, limits, leaderStamp,
                     () -> again(ofTerm, () -> abdicate.accept("another node took over")));
             tellStorage();
-            queue.add(new Command.Lead(ofTerm, jobs, machines));
+            cancellationsSeenMicros = asked;
+            queue.add(new Command.Lead(ofTerm, jobs, machines, asked));
             followJobs(ofTerm, generation);
             tick(ofTerm);
             pollTypes(ofTerm);
@@ -176,6 +198,7 @@
     }
 
     private void followJobs(long ofTerm, long since) {
+        long asked = loop.nowMicros();
         state.follow(Keys.JOBS, since, WATCH_MICROS, (result, events, generation) -> {
             if (term != ofTerm) {
                 return;
@@ -186,6 +209,7 @@
                         jobSeen(event.path(), event.value(), event.stamp());
                     }
                 }
+                cancellationsSeenMicros = asked;
                 followJobs(ofTerm, Math.max(since, generation));
             } else if (result == Result.NOT_FOUND) {
                 rereadJobs(ofTerm);
@@ -297,6 +321,8 @@
             long ofTerm = term;
             cloud.delete(delete.hosts(), done -> again(ofTerm,
                     () -> queue.add(new Command.Deleted(delete.hosts(), done))));
+        } else if (effect instanceof Effect.GiveWarrant give) {
+            warrants.accept(give.node(), give.warrant());
         } else if (effect instanceof Effect.Abdicate away) {
             abdicate.accept(away.reason());
         } else if (effect instanceof Effect.Note note) {
--- a/src/main/java/org/woadloom/node/Node.java
+++ b/src/main/java/org/woadloom/node/Node.java
@@ -16,6 +16,8 @@
 import org.woadloom.core.Core;
 import org.woadloom.core.CoreSettings;
 import org.woadloom.core.Effect;
+import org.woadloom.core.care.NodeStanding;
+import org.woadloom.core.care.Warrant;
 import org.woadloom.http.JobApi;
 import org.woadloom.http.Response;
 import org.woadloom.http.Router;
@@ -50,6 +52,7 @@
     private static final long LOADING_MICROS = 2_500_000;
     private static final long LOADING_POLL_MICROS = 20_000;
     private static final long RETURN_MICROS = 12_000_000;
+    private static final long LOOK_MICROS = 700_000;
     private static final int MOST_REPORTS_WAITING = 2_000;
 
     private final Loop loop;
@@ -65,11 +68,13 @@
     private final PeerLinks peers;
     private final Mailbox mailbox;
     private final ParkedReports parked;
+    private final Care care;
     /** Workers that came to this node instead of the leader's lately. */
     private final Cache<String, Visit> visits = Caffeine.newBuilder().maximumSize(10_000)
             .executor(Runnable::run).build();
     private final NodeMetrics metrics = new NodeMetrics();
     private List<MachineType> types = List.of();
+    private boolean probing;
 
     /**
      * A worker's first report here is carried, which renews its lease, as it may be here because it can't reach the leader.
@@ -83,11 +88,12 @@
         this.loop = loop;
         this.settings = settings;
         limits = new Limits(settings.state());
-        state = new StateClient(loop, transport, settings, limits, random);
-        rollout = new Rollout(loop, state, settings, this::formatAgreed);
+        care = new Care(loop, settings, random);
+        state = new StateClient(loop, transport, settings, limits, random, care::stateAnswered);
+        rollout = new Rollout(loop, state, settings, this::versionAgreed);
         cloud = new CloudClient(loop, transport, settings);
         duties = new LeaderDuties(loop, state, cloud, new WorkerClient(transport,
-                settings.resources().fdLimit() / 8), settings, limits, rollout, this::abdicate);
+                settings.resources().fdLimit() / 8), settings, limits, rollout, this::abdicate, this::giveWarrant);
         Core core = new Core(CoreSettings.of(settings, operator));
         queue = new CommandQueue(loop, core, metrics, MOST_REPORTS_WAITING, duties::execute);
         duties.attach(queue);
@@ -126,6 +132,22 @@
             public void carried(byte[] report, Consumer<Response> answer) {
                 decide(report, answer);
             }
+
+            @Override
+            public NodeStanding standing() {
+                return care.standing();
+            }
+
+            @Override
+            public void stands(String peer, NodeStanding standing) {
+                care.stands(peer, standing);
+                duties.nodeSpoke(peer, standing);
+            }
+
+            @Override
+            public void warranted(Warrant warrant) {
+                care.warranted(warrant);
+            }
         });
         router = new Router(new JobApi(loop, state, settings, storage(), () -> types, this::changed), this::report,
                 metrics);
@@ -135,7 +157,7 @@
         metrics.gauge("woadloom.jobs", core, Core::jobs);
         metrics.gauge("woadloom.machines", core, Core::machines);
         metrics.gauge("woadloom.jobs.waiting", core, Core::waiting);
-        metrics.gauge("woadloom.version.agreed", rollout, r -> r.format() == RecordFormat.COMPACT ? Rollout.VERSION : 1);
+        metrics.gauge("woadloom.version.agreed", rollout, Rollout::agreedVersion);
         metrics.gauge("woadloom.reservations", core, Core::reservations);
     }
 
@@ -148,10 +170,34 @@
         election.start();
         peers.start();
         rollout.start();
+        lookAround();
         readTypes();
     }
 
-    private void formatAgreed() {
+    /**
+     * While the leader is out of touch this node finds out whether the state service is, too: only asking tells. Reports
+     * that wait for either are answered as soon as it may take care of their workers.
+     */
+    private void lookAround() {
+        loop.schedule(LOOK_MICROS, this::lookAround);
+        String leader = election.leader();
+        if (election.leads() || leader != null && peers.reaches(leader)) {
+            return;
+        }
+        if (!probing) {
+            probing = true;
+            state.get(Urgency.URGENT, Keys.LEADER, (result, entry, generation) -> probing = false);
+        }
+        if (care.cutOff()) {
+            parked.release();
+            mailbox.takeBack().forEach(report -> route(report.body(), report.answer(), report.untilMicros()));
+        }
+    }
+
+    private void versionAgreed() {
+        if (rollout.care()) {
+            care.allow();
+        }
         if (duties.ready()) {
             duties.tellStorage();
         }
@@ -176,6 +222,14 @@
         };
     }
 
+    private void giveWarrant(String node, Warrant warrant) {
+        if (node.equals(settings.label())) {
+            care.warranted(warrant);
+        } else {
+            peers.warrant(node, warrant);
+        }
+    }
+
     private void abdicate(String reason) {
         election.stepDown(reason);
     }
@@ -233,7 +287,11 @@
     }
 
     private void report(byte[] body, Consumer<Response> answer) {
-        route(body, answer, loop.nowMicros() + ParkedReports.WAIT_MICROS);
+        // Whatever a report waited for in vain, it may be that the leader and the state service are out of reach.
+        route(body, response -> {
+            Response cared = response.status() == 421 || response.status() == 503 ? care.answer(body) : null;
+            answer.accept(cared == null ? response : cared);
+        }, loop.nowMicros() + ParkedReports.WAIT_MICROS);
     }
 
     /**
@@ -245,6 +303,11 @@
             decide(body, answer);
             return;
         }
+        Response cared = care.answer(body);
+        if (cared != null) {
+            answer.accept(cared);
+            return;
+        }
         String host;
         try {
             host = new Fields(Cbor.decodeMap(body)).text("host");
@@ -288,6 +351,10 @@
             loop.schedule(LOADING_POLL_MICROS, () -> decide(body, answer, untilMicros));
             return;
         }
+        if (election.leads() && duties.ready() && care.mustRest(duties.cancellationsSeenMicros())) {
+            answer.accept(Response.unavailable("cut off from the state service for too long"));
+            return;
+        }
         if (!election.leads() || !duties.ready()) {
             answer.accept(Response.of(421, Map.of()));
             return;
--- a/src/main/java/org/woadloom/node/PeerLinks.java
+++ b/src/main/java/org/woadloom/node/PeerLinks.java
@@ -6,6 +6,8 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.woadloom.core.care.NodeStanding;
+import org.woadloom.core.care.Warrant;
 import org.woadloom.http.Response;
 import org.woadloom.leader.Election;
 import org.woadloom.net.Loop;
@@ -28,6 +30,13 @@
         void hint(JobRecord record, long stamp);
 
         void carried(byte[] report, Consumer<Response> answer);
+
+        /** How this node stands, for the leader. */
+        NodeStanding standing();
+
+        void stands(String peer, NodeStanding standing);
+
+        void warranted(Warrant warrant);
     }
 
     private final Loop loop;
@@ -73,6 +82,13 @@
         }
         PeerMessage ping = new PeerMessage.Ping(election.knownTerm(), leader == null ? "" : leader);
         labels.forEach(label -> net.send(label, ping));
+        if (rollout.care() && leader != null) {
+            if (election.leads()) {
+                inbox.stands(leader, inbox.standing());
+            } else {
+                net.send(leader, new PeerMessage.Stands(inbox.standing()));
+            }
+        }
         loop.schedule(PING_MICROS, this::ping);
     }
 
@@ -115,6 +131,10 @@
         net.send(leader, new PeerMessage.Hint(Cbor.encode(record.toMap(rollout.format())), stamp));
     }
 
+    void warrant(String label, Warrant warrant) {
+        net.send(label, new PeerMessage.Warranted(warrant));
+    }
+
     /** Has the leader decide a report; the answer is 503 if none comes while the worker waits. */
     void carry(String leader, byte[] report, Consumer<Response> answer) {
         long id = ++ids;
@@ -143,6 +163,10 @@
             } catch (WireException e) {
                 LOG.error("a hint of {} can't be read: {}", from, e.getMessage());
             }
+        } else if (message instanceof PeerMessage.Stands stands) {
+            inbox.stands(from, stands.standing());
+        } else if (message instanceof PeerMessage.Warranted warranted) {
+            inbox.warranted(warranted.warrant());
         } else if (message instanceof PeerMessage.Carry carry) {
             inbox.carried(carry.report(), response -> net.send(from,
                     new PeerMessage.Carried(carry.id(), response.status(), response.body())));
--- a/src/main/java/org/woadloom/node/Rollout.java
+++ b/src/main/java/org/woadloom/node/Rollout.java
@@ -29,7 +29,11 @@
 final class Rollout {
     private static final Logger LOG = LoggerFactory.getLogger(Rollout.class);
     /** The version of what this program stores and sends. Version 1 said nothing of itself. */
-    static final long VERSION = 2;
+    static final long VERSION = 3;
+    /** The first version that reads and writes compact records. */
+    private static final long COMPACT = 2;
+    /** The first version that takes care of workers in a zone that is cut off, and as a leader reckons with that. */
+    private static final long CARE = 3;
     private static final String FIELD = "version";
     private static final long POLL_MICROS = 1_000_000;
 
@@ -38,7 +42,7 @@
     private final String label;
     private final List<String> labels = new ArrayList<>();
     private final Runnable agreedListener;
-    private boolean agreed;
+    private long agreed = 1;
     private List<String> waitedFor = List.of();
 
     Rollout(Loop loop, StateClient state, ServiceSettings settings, Runnable agreedListener) {
@@ -56,13 +60,23 @@
 
     /** How records are written now. */
     RecordFormat format() {
-        return agreed ? RecordFormat.COMPACT : RecordFormat.PLAIN;
+        return agreed >= COMPACT ? RecordFormat.COMPACT : RecordFormat.PLAIN;
+    }
+
+    /** True once nodes may speak of care, and take it. */
+    boolean care() {
+        return agreed >= CARE;
+    }
+
+    /** The version that every node runs, or a later one. */
+    long agreedVersion() {
+        return agreed;
     }
 
     /** A record in the compact format was written by a node that knew of the agreement. */
     void seen(RecordFormat format) {
         if (format == RecordFormat.COMPACT) {
-            agreed();
+            agreed(COMPACT);
         }
     }
 
@@ -78,14 +92,14 @@
     }
 
     private void poll() {
-        if (!agreed) {
+        if (agreed < VERSION) {
             look(Urgency.NORMAL, known -> loop.schedule(POLL_MICROS, this::poll));
         }
     }
 
     /** Reads what the nodes say of themselves; tells whether that could be read. */
     void look(Urgency urgency, Consumer<Boolean> done) {
-        if (agreed) {
+        if (agreed >= VERSION) {
             done.accept(true);
             return;
         }
@@ -95,44 +109,51 @@
                 return;
             }
             Map<String, Long> versions = new LinkedHashMap<>();
+            long stamp = 0;
             for (StateClient.Entry entry : entries) {
                 try {
                     versions.put(entry.path(), new Fields(entry.value()).integer(FIELD));
+                    stamp = entry.path().equals(Keys.AGREED) ? entry.stamp() : stamp;
                 } catch (WireException e) {
                     LOG.error("record {} can't be read: {}", entry.path(), e.getMessage());
                 }
             }
-            judge(versions);
+            judge(versions, stamp);
             done.accept(true);
         });
     }
 
-    private void judge(Map<String, Long> versions) {
-        if (versions.getOrDefault(Keys.AGREED, 0L) >= VERSION) {
-            agreed();
-            return;
+    private void judge(Map<String, Long> versions, long agreedStamp) {
+        agreed(versions.getOrDefault(Keys.AGREED, 1L));
+        long least = VERSION;
+        List<String> behind = new ArrayList<>();
+        for (String node : labels) {
+            long version = versions.getOrDefault(Keys.NODE_VERSIONS + node, 1L);
+            least = Math.min(least, version);
+            if (version < VERSION) {
+                behind.add(node);
+            }
         }
-        List<String> missing = new ArrayList<>(labels);
-        missing.removeIf(node -> versions.getOrDefault(Keys.NODE_VERSIONS + node, 0L) >= VERSION);
-        if (!missing.isEmpty() && !missing.equals(waitedFor)) {
-            waitedFor = missing;
-            LOG.info("version {} is not yet known to run on {}", VERSION, missing);
+        if (agreed < VERSION && !behind.isEmpty() && !behind.equals(waitedFor)) {
+            waitedFor = behind;
+            LOG.info("version {} is not yet known to run on {}", VERSION, behind);
         }
-        if (missing.isEmpty()) {
+        if (least > agreed) {
+            long version = least;
             // Whoever writes it first; what it says can't become untrue.
-            state.txn(Urgency.NORMAL, List.of(new Condition(Keys.AGREED, 0)),
-                    List.of(Change.put(Keys.AGREED, ImmutableMap.of(FIELD, VERSION))), (result, generation, failed) -> {
+            state.txn(Urgency.NORMAL, List.of(new Condition(Keys.AGREED, agreedStamp)),
+                    List.of(Change.put(Keys.AGREED, ImmutableMap.of(FIELD, version))), (result, generation, failed) -> {
                         if (result == Result.OK) {
-                            agreed();
+                            agreed(version);
                         }
                     });
         }
     }
 
-    private void agreed() {
-        if (!agreed) {
-            agreed = true;
-            LOG.info("every node runs version {}: records are written in its format from now on", VERSION);
+    private void agreed(long version) {
+        if (version > agreed) {
+            agreed = version;
+            LOG.info("every node runs version {}: what it stores and says is in use from now on", version);
             agreedListener.run();
         }
     }
--- a/src/main/java/org/woadloom/peer/PeerCodec.java
+++ b/src/main/java/org/woadloom/peer/PeerCodec.java
@@ -7,6 +7,8 @@
 import com.esotericsoftware.kryo.io.Output;
 import java.util.function.BiConsumer;
 import java.util.function.Function;
+import org.woadloom.core.care.NodeStanding;
+import org.woadloom.core.care.Warrant;
 
 /** Messages between nodes as Kryo writes them; only the registered classes can be read. Used by one thread. */
 public final class PeerCodec {
@@ -50,6 +52,16 @@
             int status = in.readInt();
             return new PeerMessage.Carried(id, status, readBytes(in));
         });
+        register(PeerMessage.Stands.class, 16, (out, m) -> {
+            NodeStanding s = m.standing();
+            writeLongs(out, s.life(), s.aliveMicros(), s.saidMicros(), s.term(), s.echoMicros(), s.promiseMicros(),
+                    s.caredMicros(), s.stateSilentMicros());
+        }, in -> new PeerMessage.Stands(new NodeStanding(in.readLong(), in.readLong(), in.readLong(), in.readLong(),
+                in.readLong(), in.readLong(), in.readLong(), in.readLong())));
+        register(PeerMessage.Warranted.class, 17, (out, m) -> {
+            Warrant w = m.warrant();
+            writeLongs(out, w.term(), w.saidMicros(), w.leaderMicros(), w.settledMicros());
+        }, in -> new PeerMessage.Warranted(new Warrant(in.readLong(), in.readLong(), in.readLong(), in.readLong())));
     }
 
     private <T> void register(Class<T> type, int id, BiConsumer<Output, T> writer, Function<Input, T> reader) {
@@ -66,6 +78,12 @@
         }, id);
     }
 
+    private static void writeLongs(Output out, long... values) {
+        for (long value : values) {
+            out.writeLong(value);
+        }
+    }
+
     private static void writeBytes(Output out, byte[] bytes) {
         out.writeInt(bytes.length);
         out.writeBytes(bytes);
--- a/src/main/java/org/woadloom/peer/PeerMessage.java
+++ b/src/main/java/org/woadloom/peer/PeerMessage.java
@@ -1,5 +1,8 @@
 package org.woadloom.peer;
 
+import org.woadloom.core.care.NodeStanding;
+import org.woadloom.core.care.Warrant;
+
 /** What controller nodes say to one another. Losing one costs time and never safety. */
 public sealed interface PeerMessage {
     /** The first message on a connection: who speaks. */
@@ -24,4 +27,12 @@
     /** The leader's answer to a carried report. */
     record Carried(long id, int status, byte[] answer) implements PeerMessage {
     }
+
+    /** How the sender stands. Only once every node runs version 3. */
+    record Stands(NodeStanding standing) implements PeerMessage {
+    }
+
+    /** The leader's answer to that. */
+    record Warranted(Warrant warrant) implements PeerMessage {
+    }
 }
--- a/src/main/java/org/woadloom/state/StateClient.java
+++ b/src/main/java/org/woadloom/state/StateClient.java
@@ -61,6 +61,12 @@
     public record Event(String path, Map<String, Object> value, long stamp) {
     }
 
+    /** Hears whether the service can be reached. */
+    public interface Health {
+        /** @param served false for 503 or no answer */
+        void answered(boolean served);
+    }
+
     public interface EntryCallback {
         void read(Result result, Entry entry, long generation);
     }
@@ -106,15 +112,18 @@
     private long heldUntilMicros;
     private boolean wakeScheduled;
     private long troubles;
+    private final Health health;
 
     private record Pending(String method, String path, byte[] body, int writeCount, long timeoutMicros,
             HttpTransport.Callback callback) {
     }
 
-    public StateClient(Loop loop, HttpTransport transport, ServiceSettings settings, Limits limits, Random random) {
+    public StateClient(Loop loop, HttpTransport transport, ServiceSettings settings, Limits limits, Random random,
+            Health health) {
         this.loop = loop;
         this.transport = transport;
         this.random = random;
+        this.health = health;
         this.address = settings.stateAddress();
         this.limits = limits;
         this.others = Math.max(1, settings.peers().size());
@@ -335,6 +344,7 @@
     }
 
     private void answered(int status, int changes) {
+        health.answered(status > 0 && status != 503);
         if (status == 429) {
             limits.tooFast(loop.nowMicros(), changes);
         }
--- a/src/test/java/org/woadloom/core/CoreFixture.java
+++ b/src/test/java/org/woadloom/core/CoreFixture.java
@@ -30,7 +30,7 @@
 
     /** @param limit the CPUs that the team may use at most */
     public CoreFixture(double limit) {
-        world = new World(new CoreSettings(List.of(new Team("team", 16, limit, 0, 0)), List.of(), 1_500_000, 10_000_000, 30_000_000,
+        world = new World(new CoreSettings("node", Map.of(), List.of(new Team("team", 16, limit, 0, 0)), List.of(), 1_500_000, 10_000_000, 30_000_000,
                 3_000_000, OperatorSettings.defaults()), 8192, RecordFormat.PLAIN, 1, 1_000_000, 0);
         world.types.put(TYPE.name(), TYPE);
     }
--- /dev/null
+++ b/src/test/java/org/woadloom/core/care/WarrantsTest.java
@@ -0,0 +1,101 @@
+package org.woadloom.core.care;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** The leader's clock and the node's are a thousand seconds apart here. */
+class WarrantsTest {
+    private static final long S = 1_000_000;
+    private static final long APART = 1000 * S;
+    private final CareRules rules = CareRules.of(22 * S, 52 * S);
+    private final Warrants book = new Warrants(rules, 7, "leader", Map.of("leader", "a", "node", "b"));
+    private final Caretaker node = new Caretaker(rules, "b", 1, APART);
+
+    private void exchange(Caretaker caretaker, long saidAt, long heardAt, long answerAt) {
+        NodeStanding said = caretaker.standing(saidAt + APART);
+        caretaker.warranted(book.heard("node", said, heardAt - S, heardAt));
+        assertTrue(answerAt >= heardAt);
+    }
+
+    private void inTouch(long until) {
+        for (long at = 0; at <= until; at += S) {
+            node.stateAnswered(at + APART);
+            exchange(node, at, at, at);
+        }
+    }
+
+    @Test
+    void aNodeThatIsInTouchHoldsUpNoProof() {
+        inTouch(10 * S);
+        assertTrue(book.lastCareMicros("b", 10 * S) < 0);
+        assertEquals(0, book.patienceMicros("b", 10 * S));
+    }
+
+    @Test
+    void careBeginsAfterThePromiseAndEndsWithTheWarrant() {
+        inTouch(10 * S);
+        node.stateFailed();
+        long begins = -1;
+        long ends = -1;
+        for (long at = 10 * S; at < 60 * S; at += S / 10) {
+            if (node.takesCare("b", 7, at + APART)) {
+                begins = begins < 0 ? at : begins;
+                ends = at;
+                assertTrue(book.lastCareMicros("b", at) >= at, "the leader does not reckon with care at " + at);
+            }
+        }
+        assertTrue(begins > 17 * S, "began at " + begins);
+        assertTrue(ends > 37 * S && ends + rules.leaseOverMicros() < 9 * S + 52 * S, "ended at " + ends);
+        assertTrue(book.lastCareMicros("b", 100 * S) >= ends && book.lastCareMicros("b", 100 * S) < 41 * S);
+    }
+
+    @Test
+    void noCareForOthersZonesLaterTermsOrWithoutAWarrant() {
+        inTouch(10 * S);
+        node.stateFailed();
+        long now = 25 * S + APART;
+        assertTrue(node.takesCare("b", 6, now));
+        assertFalse(node.takesCare("a", 7, now));
+        assertFalse(node.takesCare("b", 8, now));
+        Caretaker anew = new Caretaker(rules, "b", 2, 12 * S + APART);
+        anew.stateFailed();
+        assertFalse(anew.takesCare("b", 7, now));
+    }
+
+    /** An answer that was held up says nothing of the present. */
+    @Test
+    void aLateWarrantCountsFromWhenItWasAskedFor() {
+        inTouch(10 * S);
+        NodeStanding said = node.standing(10 * S + APART);
+        node.stateFailed();
+        assertTrue(node.takesCare("b", 7, 30 * S + APART));
+        node.warranted(book.heard("node", said, 10 * S, 10 * S));
+        assertFalse(node.takesCare("b", 7, 45 * S + APART));
+    }
+
+    @Test
+    void aNewProcessTellsUntilWhenTheOldOneMayHaveCared() {
+        inTouch(10 * S);
+        node.stateFailed();
+        assertTrue(node.takesCare("b", 7, 29 * S + APART));
+        Caretaker anew = new Caretaker(rules, "b", 2, 30 * S + APART);
+        exchange(anew, 32 * S, 32 * S, 32 * S);
+        exchange(anew, 33 * S, 33 * S, 33 * S);
+        long last = book.lastCareMicros("b", 33 * S);
+        assertTrue(last >= 30 * S && last < 31 * S, "last care at " + last);
+    }
+
+    /** A process that ends and is back within the promise can't have cared: proofs are as quick as ever. */
+    @Test
+    void aNodeThatIsBackSoonHoldsUpNoProof() {
+        inTouch(10 * S);
+        Caretaker anew = new Caretaker(rules, "b", 2, 15 * S + APART);
+        exchange(anew, 16 * S, 16 * S, 16 * S);
+        exchange(anew, 17 * S, 17 * S, 17 * S);
+        assertTrue(book.lastCareMicros("b", 17 * S) < 0);
+    }
+}
--- a/src/test/java/org/woadloom/core/jobs/PipelinesTest.java
+++ b/src/test/java/org/woadloom/core/jobs/PipelinesTest.java
@@ -24,7 +24,7 @@
 class PipelinesTest {
     private static final double WRITES_PER_SECOND = 40;
 
-    private final Core core = new Core(new CoreSettings(List.of(new Team("team", 100, 100, 0, 0)), List.of(), 1_500_000,
+    private final Core core = new Core(new CoreSettings("node", Map.of(), List.of(new Team("team", 100, 100, 0, 0)), List.of(), 1_500_000,
             10_000_000, 40_000_000, 3_000_000, OperatorSettings.defaults()));
     private long now = 1_000_000;
 
@@ -53,8 +53,8 @@
         for (JobRecord record : records) {
             jobs.add(new Command.StoredJob(record, 5));
         }
-        return step(new Command.StorageSeen(2048, RecordFormat.COMPACT, WRITES_PER_SECOND),
-                new Command.Lead(3, jobs, List.of()));
+        return step(new Command.StorageSeen(2048, RecordFormat.COMPACT, WRITES_PER_SECOND, false),
+                new Command.Lead(3, jobs, List.of(), 0));
     }
 
     private static List<String> asked(List<Effect> effects) {
--- a/src/test/java/org/woadloom/node/CommandQueueTest.java
+++ b/src/test/java/org/woadloom/node/CommandQueueTest.java
@@ -29,7 +29,7 @@
 
     private final ArrayDeque<Runnable> soon = new ArrayDeque<>();
     private final List<Effect> effects = new ArrayList<>();
-    private final Core core = new Core(new CoreSettings(List.of(new Team("team", 100, 100, 0, 0)), List.of(), 1_500_000, 10_000_000,
+    private final Core core = new Core(new CoreSettings("node", Map.of(), List.of(new Team("team", 100, 100, 0, 0)), List.of(), 1_500_000, 10_000_000,
             30_000_000, 3_000_000, OperatorSettings.defaults()));
     private final CommandQueue queue = new CommandQueue(new StillLoop(), core, new NodeMetrics(), 10, effects::addAll);
 
@@ -64,8 +64,8 @@
         for (int i = 0; i < JOBS; i++) {
             jobs.add(new Command.StoredJob(record(i), 1));
         }
-        queue.add(new Command.StorageSeen(8192, RecordFormat.PLAIN, 10_000));
-        queue.add(new Command.Lead(1, jobs, List.of()));
+        queue.add(new Command.StorageSeen(8192, RecordFormat.PLAIN, 10_000, false));
+        queue.add(new Command.Lead(1, jobs, List.of(), 0));
         int taken = 0;
         for (int i = 0; i < 25; i++) {
             taken += queue.offer(report(i, 1)) ? 1 : 0;
--- a/src/test/java/org/woadloom/sim/Day.java
+++ b/src/test/java/org/woadloom/sim/Day.java
@@ -3,14 +3,34 @@
 /**
  * What kind of day is played.
  *
- * @param leaseForNodes the lease that the nodes are told of; less than the workers' real one breaks the service on purpose
+ * @param told what the nodes are told of the real times; a shorter lease, or more time for cancelled tasks, breaks the
+ *     service on purpose
  * @param upgrade the nodes begin as version 1 and are replaced one by one; after that the state service's limits fall and
  *     users submit pipelines
- * @param agreedTooEarly breaks the service on purpose: the new version believes that every node runs it
- * @param forgetsAwaits breaks the service on purpose: nodes read no job's {@code awaits}
  */
-record Day(long leaseForNodes, boolean upgrade, boolean agreedTooEarly, boolean forgetsAwaits) {
-    static final long LEASE = 10_000_000;
-    static final Day PLAIN = new Day(LEASE, false, false, false);
-    static final Day UPGRADE = new Day(LEASE, true, false, false);
+record Day(Times real, Times told, boolean upgrade, Flaw flaw) {
+    static final Times SHORT = new Times(10_000_000, 30_000_000);
+    /** A worker that finds two nodes out of reach has some of its lease left. */
+    static final Times LONG = new Times(20_000_000, 50_000_000);
+    static final Day PLAIN = new Day(SHORT, SHORT, false, Flaw.NONE);
+    static final Day UPGRADE = new Day(SHORT, SHORT, true, Flaw.NONE);
+
+    /** A worker's lease, and how long a cancelled task may stay. */
+    record Times(long leaseMicros, long cancelMicros) {
+    }
+
+    /** How the service is broken on purpose. */
+    enum Flaw {
+        NONE,
+        /** The new version believes that every node runs it. */
+        AGREED_TOO_EARLY,
+        /** Nodes read no job's {@code awaits}. */
+        FORGETS_AWAITS,
+        /** Nodes promise not to take care of workers, and do. */
+        PROMISES_TOO_MUCH
+    }
+
+    Day with(Flaw broken) {
+        return new Day(real, told, upgrade, broken);
+    }
 }
--- a/src/test/java/org/woadloom/sim/RandomDaysTest.java
+++ b/src/test/java/org/woadloom/sim/RandomDaysTest.java
@@ -45,16 +45,16 @@
         assertEquals(List.of(), world.unfinished());
     }
 
-    /** The checker must be able to fail: nodes that believe in a shorter lease than the workers' start tasks twice. */
+    /** The checker must be able to fail. */
     @Test
     void aFormatThatIsWrittenTooEarlyIsCaught() {
-        Violation caught = assertThrows(Violation.class, () -> upgrade(new Day(Day.LEASE, true, true, false)));
+        Violation caught = assertThrows(Violation.class, () -> upgrade(Day.UPGRADE.with(Day.Flaw.AGREED_TOO_EARLY)));
         assertTrue(caught.getMessage().contains("unreadable"), caught.getMessage());
     }
 
     @Test
     void aServiceThatForgetsWhatJobsAwaitIsCaught() {
-        Violation caught = assertThrows(Violation.class, () -> upgrade(new Day(Day.LEASE, true, false, true)));
+        Violation caught = assertThrows(Violation.class, () -> upgrade(Day.UPGRADE.with(Day.Flaw.FORGETS_AWAITS)));
         assertTrue(caught.getMessage().contains("too_early"), caught.getMessage());
     }
 
@@ -67,9 +67,29 @@
 
     @Test
     void aServiceThatTrustsTooShortALeaseIsCaught() {
-        assertThrows(Violation.class, () -> {
-            for (long seed = 1; seed <= 12; seed++) {
-                World world = new World(seed, new Day(Day.LEASE / 8, false, false, false));
+        troubledUntilCaught(told(Day.SHORT.leaseMicros() / 8, Day.SHORT.cancelMicros()));
+    }
+
+    @Test
+    void aNodeThatCaresForTooLongIsCaught() {
+        Violation caught = troubledUntilCaught(told(Day.SHORT.leaseMicros(), 3 * Day.SHORT.cancelMicros()));
+        assertTrue(caught.getMessage().contains("ran_cancelled"), caught.getMessage());
+    }
+
+    @Test
+    void aNodeThatCaresAgainstItsPromiseIsCaught() {
+        Violation caught = troubledUntilCaught(Day.PLAIN.with(Day.Flaw.PROMISES_TOO_MUCH));
+        assertTrue(caught.getMessage().contains("ran_twice") || caught.getMessage().contains("quota"), caught.getMessage());
+    }
+
+    private static Day told(long leaseMicros, long cancelMicros) {
+        return new Day(Day.SHORT, new Day.Times(leaseMicros, cancelMicros), false, Day.Flaw.NONE);
+    }
+
+    private static Violation troubledUntilCaught(Day day) {
+        return assertThrows(Violation.class, () -> {
+            for (long seed = 1; seed <= 40; seed++) {
+                World world = new World(seed, day);
                 world.users(TROUBLED);
                 world.faults(TROUBLED);
                 world.run(TROUBLED);
--- a/src/test/java/org/woadloom/sim/Truth.java
+++ b/src/test/java/org/woadloom/sim/Truth.java
@@ -23,6 +23,8 @@
     private final Map<TaskId, WorkerStandIn> on = new LinkedHashMap<>();
     private final Set<TaskId> done = new HashSet<>();
     int starts;
+    /** Tasks that were killed because their worker's lease ended. */
+    int killedByLease;
     /** Starts of tasks whose job waited for others. */
     int releases;
 
@@ -82,6 +84,10 @@
         }
     }
 
+    int tasksIn(String yard) {
+        return (int) on.values().stream().filter(worker -> worker.yard.equals(yard)).count();
+    }
+
     boolean isDone(TaskId task) {
         return done.contains(task);
     }
--- a/src/test/java/org/woadloom/sim/WorkerStandIn.java
+++ b/src/test/java/org/woadloom/sim/WorkerStandIn.java
@@ -92,6 +92,7 @@
     private void checkLease() {
         if (world.loop.now() - leaseFrom > world.settings.workers().leaseMicros()) {
             for (Task task : tasks.values()) {
+                world.truth.killedByLease += task.status.equals("exited") ? 0 : 1;
                 world.truth.ended(task.id, this, false);
             }
             tasks.clear();
@@ -156,7 +157,10 @@
                 node = World.nodeIndex(leader);
                 changed = true;
             } else {
+                // It tries the next node a second later, and none before.
+                reportSent = sent;
                 world.loop.after(1_000_000, () -> {
+                    reportSent = -1;
                     node = (node + 1) % World.NODES;
                     changed = true;
                 });
--- a/src/test/java/org/woadloom/sim/World.java
+++ b/src/test/java/org/woadloom/sim/World.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import org.woadloom.core.care.NodeStanding;
 import org.woadloom.net.HttpTransport;
 import org.woadloom.net.Loop;
 import org.woadloom.node.Node;
@@ -35,6 +36,8 @@
     private final Day day;
     /** While set, the two zones can't reach each other; the state service and the cloud belong to neither. */
     private boolean cut;
+    /** The zone that is cut off from everything else, the state service, the cloud and the users among it; or null. */
+    private String island;
     /** While set, no node takes connections from another. */
     private boolean peersRefused;
     /** The node that the state service refuses, or -1. */
@@ -43,6 +46,8 @@
     private int cutFromWorkers = -1;
     /** How many of a thousand requests are held back, or lose their answer. */
     int trouble = 4;
+    /** Nodes that told the leader that they took care of workers. */
+    final boolean[] tookCare = new boolean[NODES];
     private int jobs;
 
     /** One node and the life of its process. */
@@ -65,7 +70,7 @@
             NodeLoop nodeLoop = new NodeLoop(this, mine);
             peers = new Peers(this, mine);
             node = new Node(nodeLoop, (address, method, path, body, timeout, callback) -> fromNode(this, mine, address,
-                    method, path, body, timeout, callback), peers, settingsOf(index, day.leaseForNodes()),
+                    method, path, body, timeout, callback), peers, settingsOf(index, day.told()),
                     OperatorSettings.defaults(), new Random(random.nextLong()));
             node.start();
         }
@@ -140,7 +145,7 @@
                 if (other == null || other == member) {
                     continue;
                 }
-                if (cut && !YARDS[other.index].equals(YARDS[member.index])) {
+                if (apart() && !YARDS[other.index].equals(YARDS[member.index])) {
                     if (connected[other.index]) {
                         connected[other.index] = false;
                         listener.lost(label(other.index), false);
@@ -171,14 +176,17 @@
             if (!other.alive || !connected[other.index] || random.nextInt(1000) < trouble) {
                 return;
             }
-            PeerMessage sent = message;
+            if (message instanceof PeerMessage.Stands stands) {
+                tookCare[member.index] |= stands.standing().caredMicros() >= 0;
+            }
+            PeerMessage sent = day.flaw() == Day.Flaw.PROMISES_TOO_MUCH ? withPromise(message) : message;
             if (other.old && message instanceof PeerMessage.Hint hint) {
                 sent = new PeerMessage.Hint(Cbor.encode(ProductionFilter.record(decode(hint.record()))), hint.stamp());
             }
             byte[] frame = codec.encode(sent);
             byte[] content = java.util.Arrays.copyOfRange(frame, 4, frame.length);
             int life = other.life;
-            loop.after(delay(), () -> {
+            loop.after(random.nextInt(1000) < trouble ? random.nextInt(40_000_000) : delay(), () -> {
                 if (other.lives(life) && other.peers.listener != null) {
                     try {
                         other.peers.listener.received(label(member.index), codec.decode(content));
@@ -193,13 +201,13 @@
     World(long seed, Day day) {
         random = new Random(seed);
         this.day = day;
-        settings = settingsOf(0, 10_000_000);
+        settings = settingsOf(0, day.real());
         truth = new Truth(loop, settings);
         state = new StateStandIn(loop, settings.state());
         cloud = new CloudStandIn(this);
-        if (day.agreedTooEarly()) {
+        if (day.flaw() == Day.Flaw.AGREED_TOO_EARLY) {
             state.handle("POST", "/txn", Map.of("if", List.of(), "then", List.of(Map.of("put", "version/agreed", "value",
-                    Map.of("version", 2L)))), (status, answer) -> {
+                    Map.of("version", 3L)))), (status, answer) -> {
                     });
         }
         for (int i = 0; i < NODES; i++) {
@@ -219,7 +227,7 @@
         return Integer.parseInt(label.substring(5));
     }
 
-    private static ServiceSettings settingsOf(int index, long lease) {
+    private static ServiceSettings settingsOf(int index, Day.Times times) {
         List<Peer> peers = new ArrayList<>();
         for (int i = 0; i < NODES; i++) {
             if (i != index) {
@@ -228,7 +236,7 @@
         }
         return new ServiceSettings(label(index), YARDS[index], "0:1", "0:2", peers, "cloud", "state", List.of("a", "b"),
                 List.of(new Team("red", 40, 60, 0, 0), new Team("blue", 24, 30, 0, 0)), List.of(),
-                new ServiceSettings.Workers(1_500_000, lease, 30_000_000),
+                new ServiceSettings.Workers(1_500_000, times.leaseMicros(), times.cancelMicros()),
                 new ServiceSettings.State(400, 200, 8192, 12,
                         new ServiceSettings.State(400, 60, 1500, 4, null)), new ServiceSettings.Cloud(8, 3_000_000),
                 new ServiceSettings.Resources(1, 200, 1000));
@@ -246,12 +254,15 @@
             }
         }, respond -> {
             Map<String, Object> map = decode(body);
-            if (address.equals("state") && member.index == refusedByState) {
+            if (YARDS[member.index].equals(island)) {
+                // Held back, and executed when the zone is back.
+                loop.after(1_000_000, () -> fromNodeHeld(member, mine, address, method, path, map, respond));
+            } else if (address.equals("state") && member.index == refusedByState) {
                 respond.answer(503, Map.of("error", "trouble"));
             } else if (address.equals("state") && member.old) {
                 toStateAsOld(member, mine, method, path, map, respond);
             } else if (address.equals("state")) {
-                state.handle(method, path, map, day.forgetsAwaits() ? (status, answer) -> respond.answer(status,
+                state.handle(method, path, map, day.flaw() == Day.Flaw.FORGETS_AWAITS ? (status, answer) -> respond.answer(status,
                         ProductionFilter.withoutAwaits(answer)) : respond);
             } else if (address.equals("cloud")) {
                 loop.after(150_000, () -> cloud.handle(method, path, map, respond));
@@ -261,6 +272,33 @@
         });
     }
 
+    /** What a node sent out of a zone that is cut off arrives late; only the state service still does what it asks. */
+    private void fromNodeHeld(Member member, int mine, String address, String method, String path,
+            Map<String, Object> body, StateStandIn.Answer respond) {
+        if (YARDS[member.index].equals(island)) {
+            loop.after(1_000_000, () -> fromNodeHeld(member, mine, address, method, path, body, respond));
+        } else if (address.equals("state") && !path.startsWith("/follow")) {
+            if (member.old) {
+                toStateAsOld(member, mine, method, path, body, respond);
+            } else {
+                state.handle(method, path, body, respond);
+            }
+        }
+    }
+
+    private boolean apart() {
+        return cut || island != null;
+    }
+
+    private static PeerMessage withPromise(PeerMessage message) {
+        if (!(message instanceof PeerMessage.Stands stands)) {
+            return message;
+        }
+        NodeStanding s = stands.standing();
+        return new PeerMessage.Stands(new NodeStanding(s.life(), s.aliveMicros(), s.saidMicros(), s.term(), s.echoMicros(),
+                60_000_000, -1, s.stateSilentMicros()));
+    }
+
     private void toStateAsOld(Member member, int mine, String method, String path, Map<String, Object> body, StateStandIn.Answer respond) {
         Map<String, Object> refused = ProductionFilter.refused(path, body);
         if (refused != null) {
@@ -275,7 +313,7 @@
     private void toWorker(Member member, String address, Map<String, Object> body, StateStandIn.Answer respond) {
         for (WorkerStandIn worker : cloud.machines.values()) {
             if (worker.addr.equals(address) && !worker.dead) {
-                if (cut && !worker.yard.equals(YARDS[member.index]) || member.index == cutFromWorkers) {
+                if (apart() && !worker.yard.equals(YARDS[member.index]) || member.index == cutFromWorkers) {
                     // Held back, and executed when the zones can reach each other again.
                     loop.after(1_000_000, () -> toWorker(member, address, body, respond));
                     return;
@@ -303,7 +341,11 @@
             return;
         }
         WorkerStandIn worker = cloud.machines.get(from);
-        if (worker != null && (cut && !worker.yard.equals(YARDS[index]) || index == cutFromWorkers)) {
+        if (worker != null && (apart() && !worker.yard.equals(YARDS[index]) || index == cutFromWorkers)) {
+            loop.after(timeout, () -> callback.answer(HttpTransport.NO_RESPONSE, Map.of()));
+            return;
+        }
+        if (worker == null && YARDS[index].equals(island)) {
             loop.after(timeout, () -> callback.answer(HttpTransport.NO_RESPONSE, Map.of()));
             return;
         }
@@ -535,7 +577,7 @@
     }
 
     private void fault() {
-        switch (random.nextInt(13)) {
+        switch (random.nextInt(15)) {
             case 0, 1 -> restart(members[random.nextInt(NODES)]);
             case 2 -> {
                 for (Member member : members) {
@@ -543,10 +585,7 @@
                 }
             }
             case 3 -> {
-                if (!state.down) {
-                    state.outage(true);
-                    loop.after(2_000_000 + random.nextInt(18_000_000), () -> state.outage(false));
-                }
+                stateOutage(2_000_000 + random.nextInt(18_000_000));
             }
             case 4 -> {
                 cloud.down = true;
@@ -558,14 +597,12 @@
                 peersRefused = true;
                 loop.after(5_000_000 + random.nextInt(20_000_000), () -> peersRefused = false);
             }
-            case 10 -> {
-                refusedByState = random.nextInt(NODES);
-                loop.after(5_000_000 + random.nextInt(25_000_000), () -> refusedByState = -1);
-            }
+            case 10 -> refuseState(random.nextInt(NODES), 5_000_000 + random.nextInt(25_000_000));
             case 11 -> {
                 cutFromWorkers = random.nextInt(NODES);
                 loop.after(5_000_000 + random.nextInt(25_000_000), () -> cutFromWorkers = -1);
             }
+            case 13, 14 -> island(YARDS[random.nextInt(NODES)], 5_000_000 + random.nextInt(40_000_000));
             case 8 -> {
                 cut = true;
                 loop.after(5_000_000 + random.nextInt(25_000_000), () -> cut = false);
@@ -578,11 +615,64 @@
         askForUnknown();
     }
 
+    /** Cuts a zone off from everything for a while, unless one is. */
+    void island(String yard, long forMicros) {
+        if (island == null) {
+            island = yard;
+            loop.after(forMicros, () -> island = null);
+        }
+    }
+
+    void stateOutage(long forMicros) {
+        if (!state.down) {
+            state.outage(true);
+            loop.after(forMicros, () -> state.outage(false));
+        }
+    }
+
+    /** The state service refuses this node alone. */
+    void refuseState(int index, long forMicros) {
+        refusedByState = index;
+        loop.after(forMicros, () -> refusedByState = -1);
+    }
+
+    void hangAll(String yard, long forMicros) {
+        for (WorkerStandIn worker : cloud.machines.values()) {
+            if (worker.yard.equals(yard)) {
+                worker.hungUntil = loop.now() + forMicros;
+            }
+        }
+    }
+
+    /** Every user asks to cancel, on whatever node can be reached. */
+    void cancelEverything() {
+        truth.acceptedJobs().forEach(this::cancel);
+    }
+
+    /** The index of the node that leads by the state service's word. */
+    int leader() {
+        return nodeIndex((String) state.value("leader").get("label"));
+    }
+
+    static String yardOf(int index) {
+        return YARDS[index];
+    }
+
+    void restart(int index) {
+        restart(members[index]);
+    }
+
     private void restart(Member member) {
+        end(member.index, 500_000 + random.nextInt(5_000_000));
+    }
+
+    /** A node's process ends, and another begins after the given time. */
+    void end(int index, long forMicros) {
+        Member member = members[index];
         if (member.alive) {
             member.kill();
             int mine = member.life;
-            loop.after(500_000 + random.nextInt(5_000_000), () -> {
+            loop.after(forMicros, () -> {
                 if (!member.alive && member.life == mine) {
                     member.start();
                 }
