--- a/src/main/java/org/woadloom/core/Core.java
+++ b/src/main/java/org/woadloom/core/Core.java
@@ -30,6 +30,7 @@
  */
 public final class Core {
     private static final long SWEEP_MICROS = 100_000;
+    private static final long FORGET_MICROS = 2_000_000;
     /** Backoffs, quarantines and reservations end by themselves. */
     private static final long SEARCH_MICROS = 500_000;
 
@@ -57,6 +58,7 @@
         final Preemption preemption;
         final Capacity capacity;
         long sweepMicros;
+        long forgetMicros;
         long searchMicros;
 
         Leadership(World world) {
@@ -202,6 +204,9 @@
             l.sweepMicros = world.nowMicros + SWEEP_MICROS;
             endLeases(l);
             drain(l);
+        }
+        if (world.nowMicros >= l.forgetMicros) {
+            l.forgetMicros = world.nowMicros + FORGET_MICROS;
             l.machines.forget();
             l.reports.forget();
         }
@@ -229,9 +234,9 @@
         Map<String, Long> cared = new HashMap<>();
         for (Machine machine : world.machines.values()) {
             if (machine.up() && !machine.deleted
-                    && world.nowMicros - machine.lastAnsweredMicros > world.settings.leaseOverMicros()
+                    && world.nowMicros - machine.lastAnsweredMicros > world.care.leaseOverMicros()
                     && world.nowMicros - cared.computeIfAbsent(machine.yard, yard -> world.warrants.lastCareMicros(yard,
-                            world.nowMicros)) > world.settings.leaseOverMicros()) {
+                            world.nowMicros)) > world.care.leaseOverMicros()) {
                 world.note("the lease of " + machine.host + " is over");
                 machine.leastTenure = machine.tenure + 1;
                 l.losses.session(machine, "the lease is over");
--- a/src/main/java/org/woadloom/core/CoreSettings.java
+++ b/src/main/java/org/woadloom/core/CoreSettings.java
@@ -3,7 +3,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.woadloom.core.care.CareRules;
 import org.woadloom.settings.Objective;
 import org.woadloom.settings.OperatorSettings;
 import org.woadloom.settings.ServiceSettings;
@@ -31,13 +30,4 @@
                 settings.cloud().listLagMicros(),
                 operator);
     }
-
-    public CareRules care() {
-        return CareRules.of(leaseMicros, cancelMicros);
-    }
-
-    /** How long after an answer a worker's lease is certainly over, with clocks that drift and timers that step. */
-    public long leaseOverMicros() {
-        return care().leaseOverMicros();
-    }
 }
--- a/src/main/java/org/woadloom/core/World.java
+++ b/src/main/java/org/woadloom/core/World.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.woadloom.core.care.CareRules;
 import org.woadloom.core.care.Warrants;
 import org.woadloom.core.jobs.Arrivals;
 import org.woadloom.core.jobs.Job;
@@ -23,11 +25,18 @@
     public final long startedMicros;
     public final Map<String, Job> jobs = new LinkedHashMap<>();
     public final Map<String, Machine> machines = new LinkedHashMap<>();
+    /** Machines to which there may be something to send: the others are passed over in every step. */
+    public final Set<Machine> attentive = new LinkedHashSet<>();
+    /** Machines whose record is not as it should be, or that are to go. */
+    public final Set<Machine> unsettled = new LinkedHashSet<>();
+    /** Jobs whose record does not say everything. */
+    public final Set<Job> unrecorded = new LinkedHashSet<>();
     public final Map<String, TeamUse> teams = new LinkedHashMap<>();
     public final Arrivals arrivals = new Arrivals();
     public final Pipelines pipelines = new Pipelines(this);
     /** The largest value that the state service takes, and the format of the records that must fit. */
     public int valueBytes;
+    public final CareRules care;
     public final Warrants warrants;
     /** Every cancellation that was made before this moment has been seen. */
     public long cancellationsSeenMicros = Long.MIN_VALUE;
@@ -53,7 +62,8 @@
         this.startedMicros = nowMicros;
         this.nowMicros = nowMicros;
         this.wallMicros = wallMicros;
-        warrants = new Warrants(settings.care(), term, settings.label(), settings.nodes());
+        care = CareRules.of(settings.leaseMicros(), settings.cancelMicros());
+        warrants = new Warrants(care, term, settings.label(), settings.nodes());
         for (Team team : settings.teams()) {
             teams.put(team.name(), new TeamUse(team));
         }
--- a/src/main/java/org/woadloom/core/capacity/Capacity.java
+++ b/src/main/java/org/woadloom/core/capacity/Capacity.java
@@ -271,11 +271,11 @@
                 continue;
             }
             if (replicasSilent(machine)) {
-                machine.leaving = true;
+                machine.leave();
                 machine.abandoned = true;
                 world.note("machine " + machine.host + " is given up: silent, and replicas are down with it");
             } else if (neverCame(machine) || lost(machine) || machine.takenMicros >= 0 && machine.empty()) {
-                machine.leaving = true;
+                machine.leave();
                 world.note("machine " + machine.host + " is given up");
             } else if (machine.heard() && machine.empty() && eligibility.takesTasks(machine)) {
                 idle.add(machine);
@@ -287,7 +287,7 @@
             long left = free.minus(machine.size()).cpu();
             if (left > headroom && world.nowMicros - machine.idleSinceMicros > patience(machine, left, headroom)
                     && world.nowMicros - machine.rentedMicros > LEAST_CHARGE_MICROS) {
-                machine.leaving = true;
+                machine.leave();
                 free = free.minus(machine.size());
                 world.note("machine " + machine.host + " is returned: idle");
             }
@@ -347,7 +347,7 @@
     /** A worker that is silent for longer than a lease has lost its tasks; deleting the machine proves it. */
     private boolean lost(Machine machine) {
         // In a zone that is cut off leases may be renewed by a node there, and the machines come back with their work.
-        long over = world.settings.leaseOverMicros() + world.warrants.patienceMicros(machine.yard, world.nowMicros);
+        long over = world.care.leaseOverMicros() + world.warrants.patienceMicros(machine.yard, world.nowMicros);
         if (!machine.heard()) {
             return !machine.empty() && silence(machine) > over + 2_000_000;
         }
--- a/src/main/java/org/woadloom/core/jobs/Job.java
+++ b/src/main/java/org/woadloom/core/jobs/Job.java
@@ -41,9 +41,11 @@
     private int descriptionSize;
     /** Tasks that are done: a subset of this may not be durable yet. */
     public final BitSet done;
+    private int doneCount;
     public final Recording recording;
     /** Done or placed: what is clear here is pending. */
     private final BitSet taken = new BitSet();
+    private int takenCount;
     private final Int2ObjectHashMap<Placement> placements = new Int2ObjectHashMap<>();
     private final Map<String, Integer> perYard = new LinkedHashMap<>();
     public boolean cancelled;
@@ -60,7 +62,8 @@
     /** Machines on which tasks of the job ended with an error. */
     public final Set<String> failedOn = new LinkedHashSet<>();
 
-    public Job(JobRecord record, long stamp, TeamUse team, long submittedMicros) {
+    /** @param unrecorded where the job puts itself when its record needs anything */
+    public Job(JobRecord record, long stamp, TeamUse team, long submittedMicros, Set<Job> unrecorded) {
         this.description = record.description();
         this.room = Room.of(record.description());
         this.team = team;
@@ -68,8 +71,10 @@
         this.submittedMicros = submittedMicros;
         this.done = (BitSet) record.done().clone();
         this.taken.or(record.done());
+        this.takenCount = taken.cardinality();
         this.cancelled = record.cancelled();
-        this.recording = new Recording(stamp);
+        this.recording = new Recording(stamp, () -> unrecorded.add(this));
+        this.doneCount = done.cardinality();
         this.readyWallMicros = record.readyWallMicros();
         this.waiting = !record.description().awaits().isEmpty();
         this.sinceMicros = readyWallMicros == 0 ? submittedMicros
@@ -139,7 +144,7 @@
     }
 
     public boolean allDone() {
-        return !description.service() && done.cardinality() == description.shards();
+        return !description.service() && doneCount == description.shards();
     }
 
     /** How long the description is in the compact format, about: it is in every record of the job. */
@@ -178,7 +183,7 @@
     }
 
     public int pending() {
-        return over() || waiting ? 0 : description.shards() - taken.cardinality();
+        return over() || waiting ? 0 : description.shards() - takenCount;
     }
 
     public int nextPending(int from) {
@@ -191,7 +196,7 @@
             throw new IllegalStateException("job " + uid() + " waits for others");
         }
         placements.put(placement.index, placement);
-        taken.set(placement.index);
+        take(placement.index);
         perYard.merge(placement.machine.yard, 1, Integer::sum);
         placement.machine.add(placement);
         team.add(room);
@@ -202,8 +207,9 @@
             return;
         }
         placements.remove(placement.index);
-        if (!done.get(placement.index)) {
+        if (!done.get(placement.index) && taken.get(placement.index)) {
             taken.clear(placement.index);
+            takenCount--;
         }
         perYard.computeIfPresent(placement.machine.yard, (yard, count) -> count == 1 ? null : count - 1);
         placement.machine.remove(placement);
@@ -219,12 +225,20 @@
         }
     }
 
+    private void take(int index) {
+        if (!taken.get(index)) {
+            taken.set(index);
+            takenCount++;
+        }
+    }
+
     public boolean markDone(int index) {
         if (done.get(index)) {
             return false;
         }
         done.set(index);
-        taken.set(index);
+        doneCount++;
+        take(index);
         return true;
     }
 
--- a/src/main/java/org/woadloom/core/jobs/JobTable.java
+++ b/src/main/java/org/woadloom/core/jobs/JobTable.java
@@ -117,7 +117,7 @@
             return null;
         }
         long age = Math.max(0, world.wallMicros - record.submittedWallMicros());
-        Job job = new Job(record, stamp, team, world.nowMicros - age);
+        Job job = new Job(record, stamp, team, world.nowMicros - age, world.unrecorded);
         world.jobs.put(job.uid(), job);
         if (record.allDone()) {
             job.recording.readAsDone();
--- a/src/main/java/org/woadloom/core/jobs/Placement.java
+++ b/src/main/java/org/woadloom/core/jobs/Placement.java
@@ -39,6 +39,8 @@
     public long sentToken;
     public long answeredTick;
     public TaskReport.State seen;
+    /** The last message that listed it. */
+    public long listedIn;
     public long runningSinceMicros = -1;
     private final TaskId task;
     private boolean halting;
@@ -76,7 +78,7 @@
     /** The launch may be sent, or sent again. */
     public void ready() {
         stage = Stage.READY;
-        machine.attention = true;
+        machine.attend();
     }
 
     /** True while no launch of this attempt can ever have left. */
--- a/src/main/java/org/woadloom/core/jobs/Recorder.java
+++ b/src/main/java/org/woadloom/core/jobs/Recorder.java
@@ -33,9 +33,10 @@
 
     public void emitWrites() {
         List<Job> due = new ArrayList<>();
-        for (Job job : world.jobs.values()) {
+        world.unrecorded.removeIf(job -> job.finished || job.recording.need == Recording.Need.NONE && !job.recording.reading);
+        for (Job job : world.unrecorded) {
             Recording recording = job.recording;
-            if (recording.need == Recording.Need.NONE && !recording.reading || world.nowMicros < recording.retryMicros) {
+            if (world.nowMicros < recording.retryMicros) {
                 continue;
             }
             if (recording.reading) {
@@ -107,6 +108,7 @@
                     // Nothing may be concluded from a write without an answer: read before the next one.
                     recording.reading = true;
                     recording.readSent = false;
+                    world.unrecorded.add(job);
                 }
             }
             case TOO_LARGE -> {
--- a/src/main/java/org/woadloom/core/jobs/Recording.java
+++ b/src/main/java/org/woadloom/core/jobs/Recording.java
@@ -5,6 +5,7 @@
     /** What a change needs: the more urgent a change, the sooner it is written. */
     public enum Need { NONE, PHASE, OUTCOME, LAUNCH }
 
+    private final Runnable needed;
     /** The record's stamp as far as known. */
     public long stamp;
     /** Versions up to this one are durable. */
@@ -24,8 +25,10 @@
     /** The final state is being written or is written. */
     public boolean finishing;
 
-    Recording(long stamp) {
+    /** @param needed hears when the record needs anything */
+    Recording(long stamp, Runnable needed) {
         this.stamp = stamp;
+        this.needed = needed;
     }
 
     /** The version that the next write will have; a change made now is durable with it. */
@@ -36,6 +39,7 @@
     public void needs(Need at) {
         if (at.compareTo(need) > 0) {
             need = at;
+            needed.run();
         }
     }
 
--- a/src/main/java/org/woadloom/core/machines/Directs.java
+++ b/src/main/java/org/woadloom/core/machines/Directs.java
@@ -29,8 +29,10 @@
     }
 
     public void emitSends() {
-        for (Machine machine : world.machines.values()) {
-            if (machine.attention && machine.sendInFlight == 0 && machine.heard() && !machine.deleted && !machine.addr.isEmpty()
+        for (Machine machine : List.copyOf(world.attentive)) {
+            if (machine.deleted) {
+                world.attentive.remove(machine);
+            } else if (machine.sendInFlight == 0 && machine.heard() && !machine.addr.isEmpty()
                     && machine.directWorks(world.nowMicros) && machine.tenure >= machine.leastTenure) {
                 send(machine);
             }
@@ -57,7 +59,9 @@
                 }
             }
         }
-        machine.attention = !all;
+        if (all) {
+            world.attentive.remove(machine);
+        }
         boolean greet = machine.takeGreeting();
         if (orders.isEmpty() && !greet) {
             return;
@@ -80,7 +84,7 @@
         }
         if (machine.sendInFlight == result.sendId()) {
             machine.sendInFlight = 0;
-            machine.attention = true;
+            machine.attend();
         }
         launches.removeIf(placement -> placement.job.placement(placement.index) != placement);
         if (result.report() != null && result.report().epoch() > machine.token()) {
--- a/src/main/java/org/woadloom/core/machines/Machine.java
+++ b/src/main/java/org/woadloom/core/machines/Machine.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.woadloom.core.World;
 import org.woadloom.core.jobs.Placement;
 import org.woadloom.core.placement.Room;
 import org.woadloom.state.MachineRecord;
@@ -20,7 +21,7 @@
     public final String hosttype;
     public final String yard;
     public final boolean reclaimable;
-    private final long term;
+    private final World world;
     private long fence;
     public MachineType type;
     private Room size = Room.NONE;
@@ -60,8 +61,6 @@
     public long sendInFlight;
     public long directAgainMicros;
     private boolean greet;
-    /** Set when there may be something to send: the others are passed over without a look at their tasks. */
-    public boolean attention;
 
     public long quarantinedUntilMicros;
     public long fullUntilMicros;
@@ -75,17 +74,34 @@
     private final int[] byRank = new int[Rank.values().length];
     private int halting;
 
-    public Machine(MachineRecord record, long term, long nowMicros) {
+    public Machine(MachineRecord record, World world) {
         this.host = record.host();
         this.hosttype = record.hosttype();
         this.yard = record.yard();
         this.reclaimable = record.reclaimable();
         this.leaving = record.leaving();
         this.leavingRecorded = record.leaving();
-        this.term = term;
-        this.knownSinceMicros = nowMicros;
-        this.rentedMicros = nowMicros;
-        this.idleSinceMicros = nowMicros;
+        this.world = world;
+        this.knownSinceMicros = world.nowMicros;
+        this.rentedMicros = world.nowMicros;
+        this.idleSinceMicros = world.nowMicros;
+        unsettle();
+    }
+
+    /** There may be something to send to the worker. */
+    public void attend() {
+        world.attentive.add(this);
+    }
+
+    /** There may be something to write of the machine, or to do about its going. */
+    void unsettle() {
+        world.unsettled.add(this);
+    }
+
+    /** The machine is to be given back, once nothing is on it. */
+    public void leave() {
+        leaving = true;
+        unsettle();
     }
 
     public MachineRecord toRecord() {
@@ -94,13 +110,13 @@
 
     /** The token that this worker's commands carry now. */
     public long token() {
-        return (term << FENCE_BITS) | fence;
+        return (world.term << FENCE_BITS) | fence;
     }
 
     /** Has the present token sent to the worker, with or without orders. */
     public void greet() {
         greet = true;
-        attention = true;
+        attend();
     }
 
     boolean takeGreeting() {
@@ -116,7 +132,7 @@
 
     /** True once the worker has acknowledged a token of this term: no earlier leader can reach it any more. */
     public boolean acknowledged() {
-        return epochSeen >> FENCE_BITS == term;
+        return epochSeen >> FENCE_BITS == world.term;
     }
 
     public boolean heard() {
@@ -202,7 +218,7 @@
 
     /** To be called when a task that is here is told to stop. */
     public void halted(Placement placement) {
-        attention = true;
+        attend();
         if (placements.get(placement.task()) == placement) {
             byRank[placement.job.rank().ordinal()]--;
             halting++;
--- a/src/main/java/org/woadloom/core/machines/MachineTable.java
+++ b/src/main/java/org/woadloom/core/machines/MachineTable.java
@@ -39,7 +39,7 @@
     }
 
     private Machine create(MachineRecord record) {
-        Machine machine = new Machine(record, world.term, world.nowMicros);
+        Machine machine = new Machine(record, world);
         world.machines.put(machine.host, machine);
         setType(machine);
         return machine;
@@ -72,7 +72,7 @@
             machine.rentedMicros = Math.min(machine.rentedMicros, world.nowMicros - listed.heldMicros());
             if (listed.failed() && !machine.leaving) {
                 // A failed machine stays listed until it is deleted, and the deletion's answer is the proof we need.
-                machine.leaving = true;
+                machine.leave();
                 machine.listedFailed = true;
                 world.note("machine " + machine.host + " failed");
             }
@@ -107,13 +107,15 @@
     public void emitWrites() {
         List<String> delete = new ArrayList<>();
         // A machine that is up can take tasks as soon as its record is there; the others have time.
-        for (Machine machine : world.machines.values()) {
+        world.unsettled.removeIf(machine -> machine.deleted ? !machine.recorded && !machine.writing && !machine.reading
+                : machine.recorded && !machine.reading && !machine.leaving);
+        for (Machine machine : world.unsettled) {
             if (machine.heard() && !machine.recorded && !machine.deleted && !machine.reading && !machine.writing
                     && world.nowMicros >= machine.retryMicros && world.writes.allowsMachine()) {
                 put(machine);
             }
         }
-        for (Machine machine : world.machines.values()) {
+        for (Machine machine : world.unsettled) {
             if (world.nowMicros < machine.retryMicros || machine.writing) {
                 continue;
             }
@@ -167,7 +169,10 @@
                 machine.leavingRecorded = result.leaving();
                 world.placementWorthTrying = true;
             }
-            case CONFLICT, UNKNOWN -> machine.reading = true;
+            case CONFLICT, UNKNOWN -> {
+                machine.reading = true;
+                machine.unsettle();
+            }
             case NOT_WRITTEN, TOO_LARGE -> machine.retryMicros = world.nowMicros + RETRY_MICROS;
         }
     }
@@ -183,6 +188,7 @@
         machine.recorded = machine.deleted && result.record() != null;
         machine.stamp = result.record() == null ? 0 : result.stamp();
         machine.leavingRecorded = result.record() != null && result.record().leaving();
+        machine.unsettle();
     }
 
     public void unreadable(String host) {
@@ -202,6 +208,7 @@
             machine.deleting = false;
             if (result.done()) {
                 machine.deleted = true;
+                machine.unsettle();
                 losses.all(machine, "machine deleted");
                 machine.lastHeardMicros = world.nowMicros;
             } else {
--- a/src/main/java/org/woadloom/core/machines/Reports.java
+++ b/src/main/java/org/woadloom/core/machines/Reports.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.woadloom.core.Command;
@@ -30,6 +29,9 @@
     /** Exits that may be cleared once the job's record has reached a version. */
     private final Map<String, Map<Exit, Long>> clearAfter = new HashMap<>();
 
+    /** Numbers the messages that were taken in, to tell which placements the one at hand has listed. */
+    private long readings;
+
     private record Exit(TaskId task, long attempt) {
     }
 
@@ -84,7 +86,9 @@
             machine.idleSinceMicros = world.nowMicros;
             world.note("machine " + machine.host + " is up in " + machine.yard);
         }
-        machine.attention |= newSession || first;
+        if (newSession || first) {
+            machine.attend();
+        }
         machine.lastHeardMicros = world.nowMicros;
         machine.addr = report.addr();
         if (report.warningMicros() >= 0) {
@@ -99,23 +103,35 @@
             machine.lastAnsweredMicros = Math.max(machine.lastAnsweredMicros, world.nowMicros);
             newSession(machine);
         }
-        Map<TaskId, TaskReport> listed = new LinkedHashMap<>();
-        for (TaskReport task : report.tasks()) {
+        List<TaskReport> tasks = report.tasks();
+        Placement[] listed = new Placement[tasks.size()];
+        long reading = ++readings;
+        int found = 0;
+        for (int i = 0; i < listed.length; i++) {
+            TaskReport task = tasks.get(i);
             Placement placement = placement(machine, task);
-            if (placement != null) {
-                listed.put(task.task(), task);
-            } else if (task.state() == TaskReport.State.EXITED) {
-                strangeExit(machine, task);
+            listed[i] = placement;
+            if (placement == null) {
+                if (task.state() == TaskReport.State.EXITED) {
+                    strangeExit(machine, task);
+                }
+            } else if (placement.listedIn != reading) {
+                placement.listedIn = reading;
+                found++;
             }
         }
-        for (Placement placement : machine.snapshot()) {
-            TaskReport task = listed.get(placement.task());
-            if (task == null) {
-                notListed(placement, report, own);
-            } else if (task.state() == TaskReport.State.EXITED) {
-                exited(placement, task);
-            } else {
-                there(placement, task);
+        if (found < machine.placements().size()) {
+            for (Placement placement : machine.snapshot()) {
+                if (placement.listedIn != reading) {
+                    notListed(placement, report, own);
+                }
+            }
+        }
+        for (int i = 0; i < listed.length; i++) {
+            if (listed[i] != null && tasks.get(i).state() == TaskReport.State.EXITED) {
+                exited(listed[i], tasks.get(i));
+            } else if (listed[i] != null) {
+                there(listed[i], tasks.get(i));
             }
         }
         return true;
@@ -259,11 +275,11 @@
     private List<Order> orders(Machine machine, WorkerReport report) {
         List<Order> orders = new ArrayList<>();
         Map<Exit, Long> exits = clearAfter.getOrDefault(machine.host, Map.of());
-        Map<Exit, Long> stillListed = new HashMap<>();
+        Map<Exit, Long> stillListed = exits.isEmpty() ? Map.of() : new HashMap<>();
         for (TaskReport task : report.tasks()) {
-            Job job = world.jobs.get(task.task().uid());
-            Exit exit = new Exit(task.task(), task.attempt());
             if (task.state() == TaskReport.State.EXITED) {
+                Job job = world.jobs.get(task.task().uid());
+                Exit exit = new Exit(task.task(), task.attempt());
                 Long version = exits.get(exit);
                 if (version != null) {
                     stillListed.put(exit, version);
--- a/src/main/java/org/woadloom/core/placement/ServiceOrder.java
+++ b/src/main/java/org/woadloom/core/placement/ServiceOrder.java
@@ -18,8 +18,11 @@
 public final class ServiceOrder {
     /** A late job is served by its age again after so many times the time it had: nobody waits for ever. */
     private static final int PATIENCE = 6;
+    private static final long COUNT_MICROS = 500_000;
 
     private final World world;
+    private long fleet;
+    private long countAgainMicros = Long.MIN_VALUE;
     /** By class, the longest time within which the users want its jobs done. */
     private final Map<String, Long> targets = new HashMap<>();
 
@@ -43,10 +46,10 @@
     }
 
     public List<Job> sorted(List<Job> jobs) {
-        long fleet = 1;
-        for (Machine machine : world.machines.values()) {
-            fleet += machine.up() ? machine.size().cpu() : 0;
+        if (jobs.isEmpty()) {
+            return jobs;
         }
+        countFleet();
         List<Entry> entries = new ArrayList<>(jobs.size());
         for (Job job : jobs) {
             double alone = (double) job.room.cpu() * job.pending() / fleet * runtimeMicros(job);
@@ -60,6 +63,18 @@
         return sorted;
     }
 
+    /** How large the fleet is changes slowly, and this is asked in every pass. */
+    private void countFleet() {
+        if (world.nowMicros < countAgainMicros) {
+            return;
+        }
+        countAgainMicros = world.nowMicros + COUNT_MICROS;
+        fleet = 1;
+        for (Machine machine : world.machines.values()) {
+            fleet += machine.up() ? machine.size().cpu() : 0;
+        }
+    }
+
     private static double runtimeMicros(Job job) {
         return job.description.runtimeS() * 1e6;
     }
--- a/src/main/java/org/woadloom/metrics/NodeMetrics.java
+++ b/src/main/java/org/woadloom/metrics/NodeMetrics.java
@@ -7,6 +7,7 @@
 import io.micrometer.core.instrument.Tag;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -17,6 +18,8 @@
 public final class NodeMetrics {
     private final MeterRegistry registry = new SimpleMeterRegistry();
     private final Timer steps = registry.timer("woadloom.core.step");
+    /** By what was asked and the status: to have the registry find one costs more than to count. */
+    private final Map<String, Map<Integer, Counter>> httpAnswers = new HashMap<>();
     private final Counter answers = registry.counter("woadloom.reports.answered");
     private final Counter launches = registry.counter("woadloom.direct.sent");
     private final Counter writes = registry.counter("woadloom.records.written");
@@ -25,7 +28,8 @@
 
     /** Notes the answer to a request of users or workers. */
     public void answered(String what, int status) {
-        registry.counter("woadloom.http.answers", "what", what, "status", Integer.toString(status)).increment();
+        httpAnswers.computeIfAbsent(what, w -> new HashMap<>()).computeIfAbsent(status, s -> registry.counter(
+                "woadloom.http.answers", "what", what, "status", Integer.toString(s))).increment();
     }
 
     public void stepped(long micros) {
--- a/src/main/java/org/woadloom/node/Care.java
+++ b/src/main/java/org/woadloom/node/Care.java
@@ -17,9 +17,8 @@
 import org.woadloom.net.Loop;
 import org.woadloom.settings.Peer;
 import org.woadloom.settings.ServiceSettings;
-import org.woadloom.wire.Cbor;
-import org.woadloom.wire.Fields;
 import org.woadloom.wire.WireException;
+import org.woadloom.wire.WorkerReport;
 
 /** Answers workers in the leader's place while this node is cut off with them, and says when a leader is cut off itself. */
 final class Care {
@@ -84,14 +83,14 @@
             return null;
         }
         try {
-            Fields f = new Fields(Cbor.decodeMap(report));
-            long epoch = f.count("epoch");
-            if (!caretaker.takesCare(f.text("yard"), epoch >> Machine.FENCE_BITS, now)) {
+            WorkerReport worker = WorkerReport.read(report);
+            long epoch = worker.epoch();
+            if (!caretaker.takesCare(worker.yard(), epoch >> Machine.FENCE_BITS, now)) {
                 return null;
             }
             if (now - loggedMicros > rules.patienceMicros()) {
                 loggedMicros = now;
-                LOG.info("cut off: taking care of {} and others", f.text("host"));
+                LOG.info("cut off: taking care of {} and others", worker.host());
             }
             Map<String, Object> answer = new LinkedHashMap<>();
             answer.put("epoch", epoch);
--- a/src/main/java/org/woadloom/node/Node.java
+++ b/src/main/java/org/woadloom/node/Node.java
@@ -37,8 +37,6 @@
 import org.woadloom.state.StateClient.Change;
 import org.woadloom.state.StateClient.Result;
 import org.woadloom.state.StateClient.Urgency;
-import org.woadloom.wire.Cbor;
-import org.woadloom.wire.Fields;
 import org.woadloom.wire.MachineType;
 import org.woadloom.wire.WireException;
 import org.woadloom.wire.WorkerReport;
@@ -310,7 +308,7 @@
         }
         String host;
         try {
-            host = new Fields(Cbor.decodeMap(body)).text("host");
+            host = WorkerReport.read(body).host();
         } catch (WireException e) {
             answer.accept(Response.error(400, e.getMessage()));
             return;
@@ -361,7 +359,7 @@
         }
         WorkerReport report;
         try {
-            report = WorkerReport.parse(Cbor.decodeMap(body));
+            report = WorkerReport.read(body);
         } catch (WireException e) {
             answer.accept(Response.error(400, e.getMessage()));
             return;
--- a/src/main/java/org/woadloom/wire/Cbor.java
+++ b/src/main/java/org/woadloom/wire/Cbor.java
@@ -68,6 +68,10 @@
         return out.toString();
     }
 
+    static JsonParser parser(byte[] body) throws IOException {
+        return FACTORY.createParser(body);
+    }
+
     private static Object decode(JsonFactory factory, byte[] body, String format) throws WireException {
         try (JsonParser parser = factory.createParser(body)) {
             JsonToken token = parser.nextToken();
@@ -84,7 +88,7 @@
         }
     }
 
-    private static Object read(JsonParser parser, JsonToken token, int depth) throws IOException, WireException {
+    static Object read(JsonParser parser, JsonToken token, int depth) throws IOException, WireException {
         if (depth > MAX_DEPTH) {
             throw new WireException("body: nested too deeply");
         }
@@ -127,7 +131,7 @@
         }
     }
 
-    private static JsonToken next(JsonParser parser) throws IOException, WireException {
+    static JsonToken next(JsonParser parser) throws IOException, WireException {
         JsonToken token = parser.nextToken();
         if (token == null) {
             throw new WireException("body: cut short");
--- /dev/null
+++ b/src/main/java/org/woadloom/wire/FieldReader.java
@@ -0,0 +1,116 @@
+package org.woadloom.wire;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+
+/**
+ * Reads the fields of one map as they come, for messages that arrive by the hundred a second: nothing is made of what is
+ * not asked for. It refuses what {@link Cbor#decode} and {@link Fields} refuse, and treats null as missing like them.
+ */
+final class FieldReader {
+    private final JsonParser parser;
+    private JsonToken value;
+    private String name;
+
+    private FieldReader(JsonParser parser) {
+        this.parser = parser;
+    }
+
+    /** What is made of a message. */
+    interface Reading<T> {
+        T read(FieldReader fields) throws IOException, WireException;
+    }
+
+    /** Reads a body that is one map, and nothing else. */
+    static <T> T body(byte[] body, Reading<T> reading) throws WireException {
+        try (JsonParser parser = Cbor.parser(body)) {
+            JsonToken first = parser.nextToken();
+            if (first == null) {
+                throw new WireException("body: empty");
+            }
+            if (first != JsonToken.START_OBJECT) {
+                throw new WireException("body: expected a map");
+            }
+            T result = reading.read(new FieldReader(parser));
+            if (parser.nextToken() != null) {
+                throw new WireException("body: more than one value");
+            }
+            return result;
+        } catch (IOException | ArithmeticException | IllegalArgumentException e) {
+            throw new WireException("body: not CBOR");
+        }
+    }
+
+    /** Goes on to the next field with a value; returns its name, or null at the end of the map. */
+    String next() throws IOException, WireException {
+        while ((name = parser.nextFieldName()) != null) {
+            value = Cbor.next(parser);
+            if (value != JsonToken.VALUE_NULL) {
+                return name;
+            }
+        }
+        if (parser.currentToken() != JsonToken.END_OBJECT) {
+            throw new WireException("body: a map key is not text");
+        }
+        return null;
+    }
+
+    /** Passes over a field that is not known, which must be well-formed all the same. */
+    void skip() throws IOException, WireException {
+        Cbor.read(parser, value, 2);
+    }
+
+    String text() throws IOException, WireException {
+        if (value != JsonToken.VALUE_STRING) {
+            throw new WireException(name + ": expected text");
+        }
+        return parser.getText();
+    }
+
+    boolean flag() throws WireException {
+        if (value != JsonToken.VALUE_TRUE && value != JsonToken.VALUE_FALSE) {
+            throw new WireException(name + ": expected true or false");
+        }
+        return value == JsonToken.VALUE_TRUE;
+    }
+
+    long integer() throws IOException, WireException {
+        return Fields.integer(name, scalar());
+    }
+
+    long count() throws IOException, WireException {
+        return Fields.notNegative(name, integer());
+    }
+
+    double amount() throws IOException, WireException {
+        return Fields.amount(name, scalar());
+    }
+
+    private Object scalar() throws IOException, WireException {
+        return Cbor.read(parser, value, 2);
+    }
+
+    /** Goes through a list of maps, one call of the reader for each. */
+    void maps(Reading<?> each) throws IOException, WireException {
+        String of = name;
+        if (value != JsonToken.START_ARRAY) {
+            throw new WireException(of + ": expected a list");
+        }
+        FieldReader item = new FieldReader(parser);
+        for (JsonToken token = Cbor.next(parser); token != JsonToken.END_ARRAY; token = Cbor.next(parser)) {
+            if (token != JsonToken.START_OBJECT) {
+                throw new WireException(of + ": expected a map");
+            }
+            each.read(item);
+        }
+    }
+
+    /** A field that must be there. */
+    static <T> T required(String name, T value, String what) throws WireException {
+        if (value == null) {
+            throw new WireException(name + ": expected " + what);
+        }
+        return value;
+    }
+}
--- a/src/main/java/org/woadloom/wire/Fields.java
+++ b/src/main/java/org/woadloom/wire/Fields.java
@@ -52,7 +52,10 @@
     }
 
     public long integer(String name) throws WireException {
-        Object value = map.get(name);
+        return integer(name, map.get(name));
+    }
+
+    static long integer(String name, Object value) throws WireException {
         if (value instanceof Long number) {
             return number;
         }
@@ -68,7 +71,10 @@
     }
 
     public long count(String name) throws WireException {
-        long value = integer(name);
+        return notNegative(name, integer(name));
+    }
+
+    static long notNegative(String name, long value) throws WireException {
         if (value < 0) {
             throw new WireException(name + ": must not be negative");
         }
@@ -76,7 +82,10 @@
     }
 
     public double number(String name) throws WireException {
-        Object value = map.get(name);
+        return number(name, map.get(name));
+    }
+
+    private static double number(String name, Object value) throws WireException {
         double number;
         if (value instanceof Double d) {
             number = d;
@@ -93,7 +102,11 @@
 
     /** A finite number that is not negative. */
     public double amount(String name) throws WireException {
-        double number = number(name);
+        return amount(name, map.get(name));
+    }
+
+    static double amount(String name, Object value) throws WireException {
+        double number = number(name, value);
         if (number < 0) {
             throw new WireException(name + ": must not be negative");
         }
--- a/src/main/java/org/woadloom/wire/TaskReport.java
+++ b/src/main/java/org/woadloom/wire/TaskReport.java
@@ -1,5 +1,7 @@
 package org.woadloom.wire;
 
+import java.io.IOException;
+
 /** What a worker says of one task. {@code cause} is null unless the task has exited. */
 public record TaskReport(TaskId task, long attempt, State state, Cause cause, boolean saved) {
     public enum State { FETCHING, GATHERING, RUNNING, FLUSHING, EXITED }
@@ -12,9 +14,29 @@
         INCOMPLETE
     }
 
-    static TaskReport parse(Object value) throws WireException {
-        Fields f = Fields.of(value, "shards");
-        State state = switch (f.text("status")) {
+    static TaskReport read(FieldReader fields) throws IOException, WireException {
+        TaskId task = null;
+        Long attempt = null;
+        State state = null;
+        Cause cause = Cause.ERROR;
+        boolean saved = false;
+        for (String name = fields.next(); name != null; name = fields.next()) {
+            switch (name) {
+                case "shard" -> task = TaskId.parse(fields.text());
+                case "try" -> attempt = fields.integer();
+                case "status" -> state = state(fields.text());
+                case "cause" -> cause = cause(fields.text());
+                case "saved" -> saved = fields.flag();
+                default -> fields.skip();
+            }
+        }
+        FieldReader.required("status", state, "text");
+        return new TaskReport(FieldReader.required("shard", task, "text"),
+                FieldReader.required("try", attempt, "an integer"), state, state == State.EXITED ? cause : null, saved);
+    }
+
+    private static State state(String text) {
+        return switch (text) {
             case "fetching" -> State.FETCHING;
             case "gathering" -> State.GATHERING;
             case "running" -> State.RUNNING;
@@ -23,21 +45,19 @@
             // A state this version does not know still occupies the machine.
             default -> State.RUNNING;
         };
-        Cause cause = null;
-        if (state == State.EXITED) {
-            cause = switch (f.textOr("cause", "error")) {
-                case "done" -> Cause.DONE;
-                case "halted" -> Cause.HALTED;
-                case "no_room" -> Cause.NO_ROOM;
-                case "busy" -> Cause.BUSY;
-                case "unknown" -> Cause.UNKNOWN;
-                case "peers" -> Cause.PEERS;
-                case "incomplete" -> Cause.INCOMPLETE;
-                default -> Cause.ERROR;
-            };
-        }
-        return new TaskReport(TaskId.parse(f.text("shard")), f.integer("try"), state, cause,
-                f.flagOr("saved", false));
+    }
+
+    private static Cause cause(String text) {
+        return switch (text) {
+            case "done" -> Cause.DONE;
+            case "halted" -> Cause.HALTED;
+            case "no_room" -> Cause.NO_ROOM;
+            case "busy" -> Cause.BUSY;
+            case "unknown" -> Cause.UNKNOWN;
+            case "peers" -> Cause.PEERS;
+            case "incomplete" -> Cause.INCOMPLETE;
+            default -> Cause.ERROR;
+        };
     }
 
     /** True where the worker refused the launch: nothing of this attempt ever ran. */
--- a/src/main/java/org/woadloom/wire/WorkerReport.java
+++ b/src/main/java/org/woadloom/wire/WorkerReport.java
@@ -1,26 +1,55 @@
 package org.woadloom.wire;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 
 /** A worker's report. {@code warningMicros} is -1 unless the cloud has given notice. */
 public record WorkerReport(String host, String addr, String hosttype, String yard, boolean reclaimable, long tenure,
         long tick, long epoch, long warningMicros, List<TaskReport> tasks) {
 
-    public static WorkerReport parse(Map<String, Object> map) throws WireException {
-        Fields f = new Fields(map);
-        String host = f.text("host");
-        if (host.isEmpty() || host.length() > 100 || host.indexOf(' ') >= 0 || host.indexOf('/') >= 0) {
-            throw new WireException("host: expected a machine's name");
+    public static WorkerReport read(byte[] body) throws WireException {
+        return FieldReader.body(body, WorkerReport::read);
+    }
+
+    private static WorkerReport read(FieldReader fields) throws IOException, WireException {
+        String host = null;
+        String addr = null;
+        String hosttype = null;
+        String yard = null;
+        boolean reclaimable = false;
+        Long tenure = null;
+        Long tick = null;
+        Long epoch = null;
+        long warning = -1;
+        List<TaskReport> tasks = null;
+        for (String name = fields.next(); name != null; name = fields.next()) {
+            switch (name) {
+                case "host" -> host = fields.text();
+                case "addr" -> addr = fields.text();
+                case "hosttype" -> hosttype = fields.text();
+                case "yard" -> yard = fields.text();
+                case "reclaimable" -> reclaimable = fields.flag();
+                case "tenure" -> tenure = fields.count();
+                case "tick" -> tick = fields.count();
+                case "epoch" -> epoch = fields.count();
+                case "warningS" -> warning = (long) (fields.amount() * 1e6);
+                case "shards" -> {
+                    List<TaskReport> read = new ArrayList<>();
+                    fields.maps(item -> read.add(TaskReport.read(item)));
+                    tasks = read;
+                }
+                default -> fields.skip();
+            }
         }
-        List<TaskReport> tasks = new ArrayList<>();
-        for (Object item : f.list("shards")) {
-            tasks.add(TaskReport.parse(item));
+        if (host == null || host.isEmpty() || host.length() > 100 || host.indexOf(' ') >= 0 || host.indexOf('/') >= 0) {
+            throw new WireException("host: expected a machine's name");
         }
-        long warning = f.has("warningS") ? (long) (f.amount("warningS") * 1e6) : -1;
-        return new WorkerReport(host, f.text("addr"), f.text("hosttype"), f.text("yard"), f.flagOr("reclaimable", false),
-                f.count("tenure"), f.count("tick"), f.count("epoch"), warning, List.copyOf(tasks));
+        return new WorkerReport(host, FieldReader.required("addr", addr, "text"),
+                FieldReader.required("hosttype", hosttype, "text"), FieldReader.required("yard", yard, "text"),
+                reclaimable, FieldReader.required("tenure", tenure, "an integer"),
+                FieldReader.required("tick", tick, "an integer"), FieldReader.required("epoch", epoch, "an integer"),
+                warning, FieldReader.required("shards", tasks, "a list"));
     }
 
     /** True if this message was made after the one with the given tenure and tick. */
--- a/src/main/java/org/woadloom/worker/WorkerClient.java
+++ b/src/main/java/org/woadloom/worker/WorkerClient.java
@@ -55,7 +55,7 @@
             WorkerReport report = null;
             if (status == 200 || status == 409) {
                 try {
-                    report = WorkerReport.parse(Cbor.decodeMap(body));
+                    report = WorkerReport.read(body);
                 } catch (WireException e) {
                     // An address may have passed to another machine; without its report nothing is known.
                     callback.result(new Command.DirectResult(send.sendId(), send.host(), HttpTransport.NO_RESPONSE,
--- a/src/test/java/org/woadloom/core/CoreFixture.java
+++ b/src/test/java/org/woadloom/core/CoreFixture.java
@@ -36,7 +36,7 @@
     }
 
     public Machine machine(String host, String yard) {
-        Machine machine = new Machine(new MachineRecord(host, "m16", yard, false, false), 1, world.nowMicros);
+        Machine machine = new Machine(new MachineRecord(host, "m16", yard, false, false), world);
         machine.type = TYPE;
         machine.resize(Room.of(TYPE));
         machine.recorded = true;
@@ -77,7 +77,7 @@
         map.put("bundle", "img");
         try {
             JobRecord record = JobRecord.accepted(JobDescription.parse(map), 0);
-            Job job = new Job(record, 1, world.teams.get("team"), world.nowMicros);
+            Job job = new Job(record, 1, world.teams.get("team"), world.nowMicros, world.unrecorded);
             world.jobs.put(uid, job);
             return job;
         } catch (WireException e) {
--- /dev/null
+++ b/src/test/java/org/woadloom/sim/FleetLoad.java
@@ -0,0 +1,477 @@
+package org.woadloom.sim;
+
+import io.undertow.Undertow;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.SameThreadExecutor;
+import java.io.File;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.woadloom.net.UndertowTransport;
+import org.woadloom.net.XnioLoop;
+import org.woadloom.settings.ServiceSettings;
+import org.woadloom.wire.Cbor;
+import org.woadloom.wire.WireException;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+
+/**
+ * Measures what a fleet costs real node processes, on loopback: three of them as they are deployed, between stand-ins, with
+ * workers that report, users that submit and poll. Prints the processor time and memory of each node over the measured span.
+ * It is run by hand (see docs/operations.md), never by the tests.
+ */
+final class FleetLoad {
+    private static final int NODES = 3;
+    private static final double REPORT_S = 4;
+    private static final long POLL_MICROS = 5_000_000;
+    private static final double TASK_S = 30;
+    private static final int ARRAY_TASKS = 90;
+    private static final int REPLICAS = 6;
+
+    private final int machines;
+    private final long measureMicros;
+    private final List<String> extra;
+    private final Random random = new Random(1);
+    private final SimLoop clock = new SimLoop();
+    private final StateStandIn state = new StateStandIn(clock, new ServiceSettings.State(10_000, 10_000, 16_384, 16, null));
+    private final Map<String, Worker> workers = new LinkedHashMap<>();
+    private final Map<String, List<Object>> claims = new LinkedHashMap<>();
+    private final List<String> nodes = new ArrayList<>();
+    private final List<Process> processes = new ArrayList<>();
+    private final int port = freePort();
+    private final XnioIoThread thread;
+    private final XnioLoop loop;
+    private final ByteBufferPool buffers = new DefaultByteBufferPool(true, 8192, 256, 4);
+    private final UndertowTransport users;
+    private final long[] reports = new long[NODES];
+    private long launches;
+    private long polls;
+    private long jobs;
+
+    private FleetLoad(int machines, int seconds, List<String> extra) throws IOException {
+        this.machines = machines;
+        this.measureMicros = seconds * 1_000_000L;
+        this.extra = extra;
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1).getMap());
+        thread = worker.getIoThread();
+        loop = new XnioLoop(thread);
+        users = new UndertowTransport(loop, thread, buffers, 500);
+        Undertow.builder().setWorker(worker).setByteBufferPool(buffers).addHttpListener(port, "0.0.0.0")
+                .setHandler(exchange -> exchange.getRequestReceiver().receiveFullBytes((done, body) -> done.dispatch(
+                        SameThreadExecutor.INSTANCE, () -> serve(done, body)))).build().start();
+    }
+
+    /** Arguments: machines, measured seconds, then options of the Java virtual machine for the nodes, NODE in them being its label. */
+    public static void main(String[] args) throws Exception {
+        FleetLoad load = new FleetLoad(Integer.parseInt(args[0]), Integer.parseInt(args[1]),
+                List.of(args).subList(2, args.length));
+        try {
+            load.play();
+        } finally {
+            load.processes.forEach(Process::destroy);
+        }
+        System.exit(0);
+    }
+
+    private static int freePort() {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private void play() throws Exception {
+        int[] peers = new int[NODES];
+        for (int i = 0; i < NODES; i++) {
+            nodes.add("127.0.0.1:" + freePort());
+            peers[i] = freePort();
+        }
+        Path directory = Files.createTempDirectory("fleet");
+        for (int i = 0; i < NODES; i++) {
+            Path file = directory.resolve("node-" + i + ".toml");
+            Files.writeString(file, settings(i, peers));
+            List<String> command = new ArrayList<>(List.of("java", "-Xms48m", "-Xmx64m", "-XX:+UseSerialGC",
+                    "-XX:TieredStopAtLevel=1", "-Xss256k"));
+            String node = label(i);
+            extra.forEach(option -> command.add(option.replace("NODE", node)));
+            command.addAll(List.of("-jar", "target/woadloom.jar", "serve", "--config", file.toString()));
+            ProcessBuilder builder = new ProcessBuilder(command).redirectError(new File(directory.toFile(), "node-" + i
+                    + ".log")).redirectOutput(ProcessBuilder.Redirect.DISCARD);
+            builder.environment().put("LOG_LEVEL", "info");
+            processes.add(builder.start());
+        }
+        System.out.println("logs in " + directory);
+        loop.execute(this::tick);
+        Thread.sleep(4_000);
+        loop.execute(() -> {
+            // Half the machines are for replicas, half for arrays; four processors each.
+            for (int i = 0; i < machines * 2 / REPLICAS; i++) {
+                submit("service", REPLICAS, 0);
+            }
+            arrays();
+        });
+        Thread.sleep(60_000);
+        measure();
+    }
+
+    private void measure() throws Exception {
+        double[] before = processorSeconds();
+        long[] counts = counts();
+        Thread.sleep(measureMicros / 1000);
+        double[] after = processorSeconds();
+        long[] now = counts();
+        double seconds = measureMicros / 1e6;
+        System.out.printf("%d workers, %.0f reports, %.0f launches, %.0f polls a second, %.0f jobs%n", workers.size(),
+                (now[0] - counts[0]) / seconds, (now[1] - counts[1]) / seconds, (now[2] - counts[2]) / seconds,
+                (double) jobs);
+        for (int i = 0; i < NODES; i++) {
+            double used = after[i] - before[i];
+            long mine = now[3 + i] - counts[3 + i];
+            System.out.printf("%s: %.3f of a core, %.0f reports a second, %.0f us a report in all, %d MB%n", label(i),
+                    used / seconds, mine / seconds, mine == 0 ? 0 : used / mine * 1e6, residentMb(i));
+        }
+    }
+
+    private long[] counts() throws Exception {
+        long[] counts = new long[3 + NODES];
+        CountDownLatch done = new CountDownLatch(1);
+        loop.execute(() -> {
+            counts[1] = launches;
+            counts[2] = polls;
+            for (int i = 0; i < NODES; i++) {
+                counts[0] += reports[i];
+                counts[3 + i] = reports[i];
+            }
+            done.countDown();
+        });
+        done.await(10, TimeUnit.SECONDS);
+        return counts;
+    }
+
+    private double[] processorSeconds() throws IOException {
+        double[] seconds = new double[NODES];
+        for (int i = 0; i < NODES; i++) {
+            String[] fields = Files.readString(Path.of("/proc/" + processes.get(i).pid() + "/stat")).split(" ");
+            seconds[i] = (Long.parseLong(fields[13]) + Long.parseLong(fields[14])) / 100.0;
+        }
+        return seconds;
+    }
+
+    private int residentMb(int i) throws IOException {
+        for (String line : Files.readAllLines(Path.of("/proc/" + processes.get(i).pid() + "/status"))) {
+            if (line.startsWith("VmRSS:")) {
+                return Integer.parseInt(line.replaceAll("\\D", "")) / 1024;
+            }
+        }
+        return 0;
+    }
+
+    private static String label(int i) {
+        return "node-" + i;
+    }
+
+    private String settings(int i, int[] peers) {
+        StringBuilder text = new StringBuilder("label = \"" + label(i) + "\"\narea = \"" + yard(i) + "\"\nbind = \""
+                + nodes.get(i) + "\"\npeer_bind = \"127.0.0.1:" + peers[i] + "\"\n");
+        for (int p = 0; p < NODES; p++) {
+            if (p != i) {
+                text.append("[[peers]]\nlabel = \"").append(label(p)).append("\"\narea = \"").append(yard(p))
+                        .append("\"\naddress = \"127.0.0.1:").append(peers[p]).append("\"\n");
+            }
+        }
+        return text + "[outside]\ncloud = \"127.0.0.1:" + port + "\"\nstate = \"127.0.0.1:" + port + "\"\n"
+                + "[deployment]\ncount = 3\nzones = [\"a\", \"b\"]\nclock_off_ms = 100.0\n"
+                + "[[deployment.teams]]\nname = \"team\"\ncpus = 100000.0\ncpus_max = 100000.0\n"
+                + "[deployment.workers]\nreport_s = " + REPORT_S + "\nlease_s = 22.0\ncancel_s = 52.0\n"
+                + "[deployment.state]\nrps = 700.0\nwrite_rps = 300.0\nvalue_kb = 16.0\ntxn_ops = 16\n"
+                + "[deployment.cloud]\nrps = 10.0\nlist_lag_s = 4.0\n"
+                + "[deployment.resources]\ncpu_share = 0.4\nram_mb = 414.0\nfd_limit = 2500\n";
+    }
+
+    private static String yard(int i) {
+        return i % 2 == 0 ? "a" : "b";
+    }
+
+    /** The stand-ins' clock follows the real one. */
+    private void tick() {
+        long now = loop.nowMicros() - start;
+        while (clock.step(now)) {
+            continue;
+        }
+        loop.schedule(2_000, this::tick);
+    }
+
+    private final long start = System.nanoTime() / 1000;
+
+    // Users.
+
+    private void arrays() {
+        double tasksAtATime = machines * 2.0;
+        submit("batch", ARRAY_TASKS, TASK_S);
+        double mean = ARRAY_TASKS * TASK_S / tasksAtATime;
+        loop.schedule((long) (-Math.log(1 - random.nextDouble()) * mean * 1e6), this::arrays);
+    }
+
+    private void submit(String shape, int shards, double runtimeS) {
+        String uid = String.format("j-%06d", jobs++);
+        Map<String, Object> job = new LinkedHashMap<>();
+        job.put("uid", uid);
+        job.put("jobclass", shape);
+        job.put("crew", "team");
+        job.put("shape", shape);
+        job.put("rank", shape.equals("service") ? "critical" : "high");
+        job.put("shards", (long) shards);
+        job.put("vcpus", 1.0);
+        job.put("cards", 0.0);
+        job.put("ramGb", 1.0);
+        job.put("bundle", "img-" + random.nextInt(8));
+        job.put("pullGb", 0.5);
+        job.put("apart", shape.equals("service"));
+        job.put("reclaimable", !shape.equals("service"));
+        job.put("runtimeS", runtimeS);
+        submit(uid, Cbor.encode(job));
+    }
+
+    private void submit(String uid, byte[] job) {
+        users.request(nodes.get(random.nextInt(NODES)), "POST", "/v1/jobs", job, 5_000_000, (status, body) -> {
+            if (status == 201 || status == 200) {
+                loop.schedule(random.nextInt((int) POLL_MICROS), () -> poll(uid));
+            } else {
+                loop.schedule(1_000_000, () -> submit(uid, job));
+            }
+        });
+    }
+
+    private void poll(String uid) {
+        users.request(nodes.get(random.nextInt(NODES)), "GET", "/v1/jobs/" + uid, null, 2_000_000, (status, body) -> {
+            polls++;
+            if (!"done".equals(decode(body).get("status"))) {
+                loop.schedule(POLL_MICROS, () -> poll(uid));
+            }
+        });
+    }
+
+    private static Map<String, Object> decode(byte[] body) {
+        try {
+            return body.length == 0 ? Map.of() : Cbor.decodeMap(body);
+        } catch (WireException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    // State service, cloud and workers, told apart by path and address.
+
+    private void serve(HttpServerExchange exchange, byte[] body) {
+        String query = exchange.getQueryString();
+        String path = exchange.getRequestPath() + (query.isEmpty() ? "" : "?" + query);
+        Map<String, Object> map = decode(body);
+        if (path.equals("/do")) {
+            Worker worker = workers.get("host-" + exchange.getDestinationAddress().getAddress().getHostAddress());
+            reply(exchange, worker == null ? 400 : 200, worker == null ? Map.of() : worker.direct(map));
+        } else if (path.startsWith("/machine")) {
+            reply(exchange, 200, cloud(exchange.getRequestMethod().toString(), path, map));
+        } else {
+            state.handle(exchange.getRequestMethod().toString(), path, map,
+                    (status, answer) -> reply(exchange, status, answer));
+        }
+    }
+
+    private static void reply(HttpServerExchange exchange, int status, Map<String, Object> map) {
+        exchange.setStatusCode(status);
+        exchange.getResponseSender().send(ByteBuffer.wrap(Cbor.encode(map)));
+    }
+
+    private Map<String, Object> cloud(String method, String path, Map<String, Object> body) {
+        if (path.equals("/machine_types")) {
+            Map<String, Object> type = new LinkedHashMap<>(Map.of("name", "m4", "vcpus", 4.0, "cards", 0.0, "ramGb", 32.0,
+                    "cacheGb", 40.0, "pullGbPerS", 1.0, "rate", 0.17, "marketPrice", 0.05, "readyS", 3.0,
+                    "yards", List.of("a", "b")));
+            return Map.of("hosttypes", List.of(type));
+        }
+        if (method.equals("POST") && path.equals("/machines")) {
+            return Map.of("hosts", claims.computeIfAbsent((String) body.get("claim"), claim -> rent(body)));
+        }
+        if (path.equals("/machines/delete")) {
+            ((List<?>) body.get("hosts")).forEach(host -> {
+                Worker worker = workers.remove(host);
+                if (worker != null) {
+                    worker.gone = true;
+                }
+            });
+            return Map.of();
+        }
+        List<Object> hosts = new ArrayList<>();
+        workers.values().forEach(w -> hosts.add(Map.of("uid", w.host, "addr", w.addr, "hosttype", "m4", "yard", w.yard,
+                "reclaimable", w.reclaimable, "status", "running", "heldS", 60.0)));
+        return Map.of("hosts", hosts, "more", false);
+    }
+
+    private List<Object> rent(Map<String, Object> body) {
+        List<Object> hosts = new ArrayList<>();
+        for (long i = 0; i < (Long) body.get("count"); i++) {
+            Worker worker = new Worker(workers.size() + claims.size() * 64, (String) body.get("yard"),
+                    (Boolean) body.get("reclaimable"));
+            if (workers.putIfAbsent(worker.host, worker) == null) {
+                hosts.add(worker.host);
+                loop.schedule(1_000_000 + random.nextInt(2_000_000), worker::report);
+            }
+        }
+        return hosts;
+    }
+
+    /** A machine of four processors: reports, runs what it is told to and says when it is done. */
+    private final class Worker {
+        final String host;
+        final String addr;
+        final String yard;
+        final boolean reclaimable;
+        final UndertowTransport transport = new UndertowTransport(loop, thread, buffers, 1);
+        final Map<String, Map<String, Object>> tasks = new LinkedHashMap<>();
+        int node = random.nextInt(NODES);
+        long tick;
+        long epoch;
+        boolean gone;
+        boolean reporting;
+        long lastMicros;
+        boolean soon;
+
+        Worker(int number, String yard, boolean reclaimable) {
+            String ip = "127." + (1 + number / 62_500) + "." + (1 + number / 250 % 250) + "." + (1 + number % 250);
+            this.host = "host-" + ip;
+            this.addr = ip + ":" + port;
+            this.yard = yard;
+            this.reclaimable = reclaimable;
+        }
+
+        void beat() {
+            loop.schedule((long) (REPORT_S * 1e6 * (0.75 + random.nextDouble() / 2)), this::report);
+        }
+
+        void changed() {
+            if (!soon) {
+                soon = true;
+                loop.schedule(Math.max(1_000, lastMicros + 500_000 - loop.nowMicros()), () -> {
+                    soon = false;
+                    send(false);
+                });
+            }
+        }
+
+        void report() {
+            send(true);
+        }
+
+        private void send(boolean periodic) {
+            if (gone) {
+                return;
+            }
+            if (periodic) {
+                beat();
+            }
+            if (reporting) {
+                return;
+            }
+            reporting = true;
+            lastMicros = loop.nowMicros();
+            int at = node;
+            transport.request(nodes.get(at), "POST", "/v1/report", Cbor.encode(body()), 4_000_000, (status, answer) -> {
+                reporting = false;
+                reports[at]++;
+                Map<String, Object> map = decode(answer);
+                if (status == 200) {
+                    epoch = Math.max(epoch, (Long) map.get("epoch"));
+                    execute((List<?>) map.get("orders"));
+                } else if (status == 421 && map.get("overseer") instanceof String leader) {
+                    node = Integer.parseInt(leader.substring(5));
+                    changed();
+                } else {
+                    node = (node + 1) % NODES;
+                    loop.schedule(1_000_000, this::changed);
+                }
+            });
+        }
+
+        Map<String, Object> direct(Map<String, Object> body) {
+            epoch = Math.max(epoch, (Long) body.get("epoch"));
+            execute((List<?>) body.get("orders"));
+            return body();
+        }
+
+        private Map<String, Object> body() {
+            Map<String, Object> map = new LinkedHashMap<>();
+            map.put("host", host);
+            map.put("addr", addr);
+            map.put("hosttype", "m4");
+            map.put("yard", yard);
+            map.put("reclaimable", reclaimable);
+            map.put("tenure", 1L);
+            map.put("tick", ++tick);
+            map.put("epoch", epoch);
+            map.put("warningS", null);
+            map.put("shards", new ArrayList<Object>(tasks.values()));
+            return map;
+        }
+
+        private void execute(List<?> orders) {
+            for (Object item : orders) {
+                Map<?, ?> order = (Map<?, ?>) item;
+                String shard = (String) order.get("shard");
+                switch ((String) order.get("verb")) {
+                    case "launch" -> launch(shard, (Long) order.get("try"));
+                    case "halt" -> exit(shard, "halted");
+                    default -> tasks.remove(shard);
+                }
+                changed();
+            }
+        }
+
+        private void launch(String shard, long attempt) {
+            if (tasks.containsKey(shard)) {
+                return;
+            }
+            launches++;
+            Map<String, Object> task = new LinkedHashMap<>();
+            task.put("shard", shard);
+            task.put("try", attempt);
+            task.put("status", "fetching");
+            tasks.put(shard, task);
+            loop.schedule(500_000, () -> {
+                task.put("status", "running");
+                changed();
+            });
+            // The first jobs are the services, which run on.
+            if (Integer.parseInt(shard.substring(2, 8)) >= machines * 2 / REPLICAS) {
+                loop.schedule((long) (TASK_S * 1e6), () -> {
+                    if (tasks.get(shard) == task) {
+                        exit(shard, "done");
+                        changed();
+                    }
+                });
+            }
+        }
+
+        private void exit(String shard, String cause) {
+            Map<String, Object> task = tasks.get(shard);
+            if (task != null) {
+                task.put("status", "exited");
+                task.put("cause", cause);
+            }
+        }
+    }
+}
--- a/src/test/java/org/woadloom/sim/StateStandIn.java
+++ b/src/test/java/org/woadloom/sim/StateStandIn.java
@@ -237,8 +237,12 @@
         String prefix = parameter(path, "prefix");
         long since = Long.parseLong(parameter(path, "since"));
         List<Object> events = new ArrayList<>();
-        for (Change change : changes) {
-            if (change.stamp > since && change.path.startsWith(prefix)) {
+        int from = changes.size();
+        while (from > 0 && changes.get(from - 1).stamp > since) {
+            from--;
+        }
+        for (Change change : changes.subList(from, changes.size())) {
+            if (change.path.startsWith(prefix)) {
                 Map<String, Object> event = new LinkedHashMap<>();
                 event.put(change.value == null ? "drop" : "put", change.path);
                 event.put("value", change.value);
--- a/src/test/java/org/woadloom/sim/Truth.java
+++ b/src/test/java/org/woadloom/sim/Truth.java
@@ -23,7 +23,7 @@
     private final Map<TaskId, WorkerStandIn> on = new LinkedHashMap<>();
     private final Set<TaskId> done = new HashSet<>();
     int starts;
-    /** Tasks that were killed because their worker's lease ended. */
+    /** Running tasks that were killed because their worker's lease ended. */
     int killedByLease;
     /** Starts of tasks whose job waited for others. */
     int releases;
--- a/src/test/java/org/woadloom/sim/WorkerStandIn.java
+++ b/src/test/java/org/woadloom/sim/WorkerStandIn.java
@@ -92,7 +92,7 @@
     private void checkLease() {
         if (world.loop.now() - leaseFrom > world.settings.workers().leaseMicros()) {
             for (Task task : tasks.values()) {
-                world.truth.killedByLease += task.status.equals("exited") ? 0 : 1;
+                world.truth.killedByLease += task.status.equals("running") ? 1 : 0;
                 world.truth.ended(task.id, this, false);
             }
             tasks.clear();
