--- a/src/main/java/org/woadloom/http/JobApi.java
+++ b/src/main/java/org/woadloom/http/JobApi.java
@@ -158,6 +158,9 @@
         if (job.vcpus() * together > team.cpusMax() + 1e-9 || job.cards() * together > team.gpusMax() + 1e-9) {
             return Response.error(422, "the job needs more than the team's limit");
         }
+        if (job.yard() != null && !settings.zones().contains(job.yard())) {
+            return Response.error(422, "yard: unknown zone");
+        }
         List<MachineType> known = types.types();
         if (known.isEmpty()) {
             return Response.unavailable("the machine types are not known yet");
--- a/src/main/java/org/woadloom/wire/Cbor.java
+++ b/src/main/java/org/woadloom/wire/Cbor.java
@@ -97,7 +97,11 @@
                 Map<String, Object> map = new LinkedHashMap<>();
                 String name;
                 while ((name = parser.nextFieldName()) != null) {
+                    int known = map.size();
                     map.put(name, read(parser, next(parser), depth + 1));
+                    if (map.size() == known) {
+                        throw new WireException("body: " + name + " stands twice in a map");
+                    }
                 }
                 if (parser.currentToken() != JsonToken.END_OBJECT) {
                     throw new WireException("body: a map key is not text");
--- a/src/main/java/org/woadloom/wire/FieldReader.java
+++ b/src/main/java/org/woadloom/wire/FieldReader.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
+import java.util.Arrays;
 
 /**
  * Reads the fields of one map as they come, for messages that arrive by the hundred a second: nothing is made of what is
@@ -12,6 +13,8 @@
     private final JsonParser parser;
     private JsonToken value;
     private String name;
+    private String[] names = new String[16];
+    private int count;
 
     private FieldReader(JsonParser parser) {
         this.parser = parser;
@@ -45,6 +48,7 @@
     /** Goes on to the next field with a value; returns its name, or null at the end of the map. */
     String next() throws IOException, WireException {
         while ((name = parser.nextFieldName()) != null) {
+            once();
             value = Cbor.next(parser);
             if (value != JsonToken.VALUE_NULL) {
                 return name;
@@ -56,6 +60,19 @@
         return null;
     }
 
+    /** A map has few fields, and their names are mostly the same objects each time. */
+    private void once() throws WireException {
+        for (int i = 0; i < count; i++) {
+            if (names[i].equals(name)) {
+                throw new WireException("body: " + name + " stands twice in a map");
+            }
+        }
+        if (count == names.length) {
+            names = Arrays.copyOf(names, 2 * count);
+        }
+        names[count++] = name;
+    }
+
     /** Passes over a field that is not known, which must be well-formed all the same. */
     void skip() throws IOException, WireException {
         Cbor.read(parser, value, 2);
@@ -102,6 +119,7 @@
             if (token != JsonToken.START_OBJECT) {
                 throw new WireException(of + ": expected a map");
             }
+            item.count = 0;
             each.read(item);
         }
     }
--- /dev/null
+++ b/src/test/java/org/woadloom/sim/BadInputTest.java
@@ -0,0 +1,310 @@
+package org.woadloom.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.woadloom.wire.Cbor;
+
+/**
+ * Malformed requests on every route and in every field, to a node that leads and to one that does not, while reports press:
+ * each is refused at once, nothing of it is stored, and its connection goes on.
+ */
+class BadInputTest {
+    /** Less than a report may wait for a leader: whatever is held back fails. */
+    private static final int AT_ONCE_MILLIS = 2_500;
+    private static final Object[] NO_TEXT = {null, 7L, 1.5, true, List.of("x"), Map.of()};
+    private static final Object[] NO_AMOUNT = {"1", true, -1.0, -1L, Double.NaN, Double.POSITIVE_INFINITY, List.of(), Map.of()};
+    private static final Object[] NO_COUNT = {null, "1", 1.5, -1L, Double.NaN, List.of(), true};
+    private static final Object[] NO_FLAG = {"true", 1L, 0.0, List.of()};
+
+    private final LoopbackNode node = new LoopbackNode();
+    private final AtomicBoolean pressing = new AtomicBoolean(true);
+    private final AtomicInteger pressed = new AtomicInteger();
+    private final List<Thread> press = new ArrayList<>();
+
+    /** One request with the answer that is expected. */
+    private record Case(String what, String path, byte[] body, int status) {
+    }
+
+    /** A connection that is kept, whatever was answered on it. */
+    private static final class Connection {
+        private final Socket socket;
+        private final DataInputStream in;
+
+        Connection(String address) throws IOException {
+            String[] parts = address.split(":");
+            socket = new Socket(parts[0], Integer.parseInt(parts[1]));
+            socket.setSoTimeout(AT_ONCE_MILLIS);
+            socket.setTcpNoDelay(true);
+            in = new DataInputStream(socket.getInputStream());
+        }
+
+        int ask(String method, String path, byte[] body) throws IOException {
+            byte[] head = (method + " " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + body.length + "\r\n\r\n")
+                    .getBytes(StandardCharsets.US_ASCII);
+            byte[] request = Arrays.copyOf(head, head.length + body.length);
+            System.arraycopy(body, 0, request, head.length, body.length);
+            socket.getOutputStream().write(request);
+            int status = Integer.parseInt(line().split(" ")[1]);
+            int length = 0;
+            for (String line = line(); !line.isEmpty(); line = line()) {
+                length = line.toLowerCase().startsWith("content-length:") ? Integer.parseInt(line.substring(15).trim()) : length;
+            }
+            in.readFully(new byte[length]);
+            return status;
+        }
+
+        @SuppressWarnings("deprecation")
+        private String line() throws IOException {
+            return in.readLine();
+        }
+    }
+
+    @AfterEach
+    void stop() throws InterruptedException {
+        pressing.set(false);
+        for (Thread thread : press) {
+            thread.join();
+        }
+        node.stop();
+    }
+
+    private static Map<String, Object> job() {
+        Map<String, Object> map = new LinkedHashMap<>();
+        map.put("uid", "j-000412");
+        map.put("jobclass", "class");
+        map.put("crew", "team");
+        map.put("shape", "batch");
+        map.put("rank", "high");
+        map.put("shards", 3L);
+        map.put("vcpus", 1.0);
+        map.put("ramGb", 1.0);
+        map.put("bundle", "img");
+        return map;
+    }
+
+    private static Map<String, Object> task() {
+        return new LinkedHashMap<>(Map.of("shard", "j-000412/3", "try", 2L, "status", "exited", "cause", "done"));
+    }
+
+    private static Map<String, Object> report(Object tasks) {
+        Map<String, Object> map = new LinkedHashMap<>();
+        map.put("host", "host-000231");
+        map.put("addr", "127.0.0.1:1");
+        map.put("hosttype", "m");
+        map.put("yard", "a");
+        map.put("reclaimable", true);
+        map.put("tenure", 1L);
+        map.put("tick", 88L);
+        map.put("epoch", 0L);
+        map.put("warningS", null);
+        map.put("shards", tasks);
+        return map;
+    }
+
+    private static void fields(List<Case> cases, String path, Map<String, Object> good, int status, String field,
+            Object... values) {
+        for (Object value : values) {
+            Map<String, Object> bad = new LinkedHashMap<>(good);
+            bad.put(field, value);
+            cases.add(new Case(field + " = " + value, path, Cbor.encode(bad), status));
+        }
+    }
+
+    /** Bodies that are no well-formed message, whatever the route. */
+    private static void bodies(List<Case> cases, String path, Map<String, Object> good) {
+        byte[] whole = Cbor.encode(good);
+        for (int length = 0; length < whole.length; length += 1 + length / 16) {
+            cases.add(new Case("cut short after " + length, path, Arrays.copyOf(whole, length), 400));
+        }
+        cases.add(new Case("two values", path, Arrays.copyOf(whole, whole.length + 1), 400));
+        cases.add(new Case("a list", path, Cbor.encode(List.of(good)), 400));
+        cases.add(new Case("text", path, Cbor.encode("x"), 400));
+        Object deep = "x";
+        for (int i = 0; i < 900; i++) {
+            deep = List.of(deep);
+        }
+        Map<String, Object> nested = new LinkedHashMap<>(good);
+        nested.put("unknown", deep);
+        cases.add(new Case("nested deep", path, Cbor.encode(nested), 400));
+        Map<String, Object> large = new LinkedHashMap<>(good);
+        int most = 64 * 1024;
+        int filling = most;
+        do {
+            large.put("unknown", "x".repeat(filling--));
+        } while (Cbor.encode(large).length > most + 1);
+        assertEquals(most + 1, Cbor.encode(large).length);
+        cases.add(new Case("64 KiB and a byte", path, Cbor.encode(large), 400));
+        cases.add(new Case("a key twice", path, twice(whole, "yard", good.containsKey("yard") ? 1 : 2), 400));
+        cases.add(new Case("a byte string", path, bytes(whole), 400));
+    }
+
+    /** The map with one more field, so often; the encoding of a map is its length and then its fields. */
+    private static byte[] twice(byte[] map, String key, int times) {
+        byte[] one = Cbor.encode(Map.of(key, "a"));
+        byte[] more = map;
+        for (int i = 0; i < times; i++) {
+            more = added(more, Arrays.copyOfRange(one, 1, one.length));
+        }
+        return more;
+    }
+
+    private static byte[] bytes(byte[] map) {
+        return added(map, new byte[] {0x61, 'b', 0x42, 1, 2});
+    }
+
+    private static byte[] added(byte[] map, byte[] field) {
+        assertEquals(0xa0, map[0] & 0xe0, "a short map");
+        byte[] more = Arrays.copyOf(map, map.length + field.length);
+        more[0]++;
+        System.arraycopy(field, 0, more, map.length, field.length);
+        return more;
+    }
+
+    private static List<Case> cases() {
+        List<Case> cases = new ArrayList<>();
+        String jobs = "/v1/jobs";
+        bodies(cases, jobs, job());
+        for (String field : List.of("uid", "jobclass", "crew", "shape", "rank", "bundle")) {
+            fields(cases, jobs, job(), 400, field, NO_TEXT);
+            fields(cases, jobs, job(), 400, field, "", "x".repeat(200));
+        }
+        fields(cases, jobs, job(), 400, "uid", "412", "j-", "j-1/2", "j-1 2", "j-\u00e9");
+        fields(cases, jobs, job(), 400, "shape", "Batch");
+        fields(cases, jobs, job(), 400, "rank", "highest");
+        fields(cases, jobs, job(), 400, "shards", NO_COUNT);
+        fields(cases, jobs, job(), 400, "shards", 0L, 100_001L, Long.MAX_VALUE, Long.MIN_VALUE);
+        for (String field : List.of("vcpus", "ramGb", "cards", "pullGb", "runtimeS", "snapshotEveryS", "snapshotCostS", "dueS")) {
+            fields(cases, jobs, job(), 400, field, NO_AMOUNT);
+        }
+        fields(cases, jobs, job(), 400, "vcpus", (Object) null);
+        fields(cases, jobs, job(), 400, "ramGb", (Object) null);
+        for (String field : List.of("samePlace", "apart", "reclaimable")) {
+            fields(cases, jobs, job(), 400, field, NO_FLAG);
+        }
+        fields(cases, jobs, job(), 400, "hosttypes", "m", 1L, List.of(1L), Map.of());
+        fields(cases, jobs, job(), 400, "yard", 1L, true, List.of("a"));
+        fields(cases, jobs, job(), 400, "awaits", "j-1", List.of(1L));
+        fields(cases, jobs, job(), 422, "crew", "nobody");
+        fields(cases, jobs, job(), 422, "yard", "nowhere");
+        fields(cases, jobs, job(), 422, "hosttypes", List.of(), List.of("none"));
+        fields(cases, jobs, job(), 422, "vcpus", 2.0, 1e300);
+        fields(cases, jobs, job(), 422, "ramGb", 9.0);
+        fields(cases, jobs, job(), 422, "awaits", List.of("j-000412"), List.of("no id"));
+
+        String reports = "/v1/report";
+        bodies(cases, reports, report(List.of(task())));
+        for (String field : List.of("host", "addr", "hosttype", "yard")) {
+            fields(cases, reports, report(List.of()), 400, field, NO_TEXT);
+        }
+        fields(cases, reports, report(List.of()), 400, "host", "", "a b", "a/b", "x".repeat(101));
+        for (String field : List.of("tenure", "tick", "epoch")) {
+            fields(cases, reports, report(List.of()), 400, field, NO_COUNT);
+        }
+        fields(cases, reports, report(List.of()), 400, "reclaimable", NO_FLAG);
+        fields(cases, reports, report(List.of()), 400, "warningS", NO_AMOUNT);
+        fields(cases, reports, report(List.of()), 400, "shards", null, "x", 1L, Map.of(), List.of(1L), List.of(List.of()));
+        List<Case> tasks = new ArrayList<>();
+        fields(tasks, reports, task(), 400, "shard", NO_TEXT);
+        fields(tasks, reports, task(), 400, "shard", "", "j-1", "j-1/", "j-1/x", "j-1/-1", "j-1/99999999999", "/1");
+        fields(tasks, reports, task(), 400, "try", null, "1", 1.5, Double.NaN, List.of());
+        fields(tasks, reports, task(), 400, "status", NO_TEXT);
+        fields(tasks, reports, task(), 400, "cause", 7L, true, List.of());
+        fields(tasks, reports, task(), 400, "saved", NO_FLAG);
+        for (Case bad : tasks) {
+            cases.add(new Case("task " + bad.what, reports, Cbor.encode(report(List.of(decode(bad.body)))), 400));
+        }
+
+        for (String id : List.of("412", "j-", "j-1%2F2", "j-1%202", "x".repeat(80), "..")) {
+            cases.add(new Case("cancel " + id, jobs + "/" + id + "/cancel", new byte[0], 404));
+        }
+        for (String path : List.of("/", "/v1", "/v1/job", "/v1/reports", "/v1/jobs/", "/healthz/x")) {
+            cases.add(new Case("path " + path, path, new byte[0], 404));
+        }
+        return cases;
+    }
+
+    private static Object decode(byte[] body) {
+        try {
+            return Cbor.decodeMap(body);
+        } catch (org.woadloom.wire.WireException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Workers of other machines that report all the time. */
+    private void press() {
+        for (int i = 0; i < 3; i++) {
+            String host = "press-" + i;
+            Thread thread = new Thread(() -> {
+                try {
+                    Connection connection = new Connection(node.address);
+                    long tick = 0;
+                    while (pressing.get()) {
+                        Map<String, Object> report = report(List.of());
+                        report.put("host", host);
+                        report.put("tick", ++tick);
+                        connection.ask("POST", "/v1/report", Cbor.encode(report));
+                        pressed.incrementAndGet();
+                    }
+                } catch (IOException e) {
+                    // A node without a leader lets a report wait for longer than this connection does.
+                    pressed.incrementAndGet();
+                }
+            });
+            press.add(thread);
+            thread.start();
+        }
+    }
+
+    private void refuseAll() throws IOException {
+        Connection connection = new Connection(node.address);
+        // Until the machine types are known a job that fits none is told to come back.
+        Map<String, Object> unfit = job();
+        unfit.put("ramGb", 9.0);
+        for (int i = 0; i < 5_000 && connection.ask("POST", "/v1/jobs", Cbor.encode(unfit)) == 503; i++) {
+            continue;
+        }
+        press();
+        List<Case> cases = cases();
+        for (Case bad : cases) {
+            assertEquals(bad.status, connection.ask("POST", bad.path, bad.body), bad.path + ": " + bad.what);
+            assertEquals(200, connection.ask("GET", "/healthz", new byte[0]), "after " + bad.path + ": " + bad.what);
+        }
+        assertEquals(404, connection.ask("GET", "/v1/jobs/j-000412", new byte[0]));
+        assertTrue(cases.size() > 250, cases.size() + " cases");
+        assertTrue(pressed.get() > 0, "no report pressed");
+        assertFalse(node.state.holdsAny("job/"), "a job was stored");
+        assertFalse(node.state.holdsAny("machine/host-"), "a machine was stored");
+    }
+
+    @Test
+    void aLeaderRefusesWhatIsMalformed() throws Exception {
+        node.start();
+        refuseAll();
+        assertEquals("rehearsal", node.state.value("leader").get("label"));
+    }
+
+    @Test
+    void aNodeThatDoesNotLeadRefusesWhatIsMalformed() throws Exception {
+        node.state.handle("POST", "/txn", Map.of("if", List.of(), "then", List.of(Map.of("put", "leader", "value",
+                Map.of("label", "other", "term", 5L)))), (status, answer) -> assertEquals(200, status));
+        node.start();
+        refuseAll();
+        assertEquals("other", node.state.value("leader").get("label"));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/woadloom/sim/LoopbackNode.java
@@ -0,0 +1,79 @@
+package org.woadloom.sim;
+
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.SameThreadExecutor;
+import java.net.ServerSocket;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.woadloom.node.Server;
+import org.woadloom.settings.OperatorSettings;
+import org.woadloom.settings.ServiceSettings;
+import org.woadloom.settings.ServiceSettingsFile;
+import org.woadloom.wire.Cbor;
+import org.woadloom.wire.WireException;
+
+/** One node over real sockets on the loopback address, with the stand-in of the state service behind HTTP. */
+final class LoopbackNode {
+    final StateStandIn state = new StateStandIn(new SimLoop(),
+            new ServiceSettings.State(1_000, 1_000, 16_384, 16, null));
+    private Undertow outside;
+    String address;
+
+    void stop() {
+        outside.stop();
+    }
+
+    private static int freePort() throws Exception {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    void start() throws Exception {
+        int port = freePort();
+        outside = Undertow.builder().setIoThreads(1).setWorkerThreads(1).addHttpListener(port, "127.0.0.1")
+                .setHandler(exchange -> exchange.getRequestReceiver().receiveFullBytes((done, body) -> done.dispatch(
+                        SameThreadExecutor.INSTANCE, () -> answer(done, body)))).build();
+        outside.start();
+        address = "127.0.0.1:" + freePort();
+        String text = Files.readString(Path.of("src/build/rehearsal.toml"))
+                .replace("bind = \"127.0.0.1:18931\"", "bind = \"" + address + "\"")
+                .replace("peer_bind = \"127.0.0.1:18932\"", "peer_bind = \"127.0.0.1:" + freePort() + "\"")
+                .replace("= \"127.0.0.1:18931\"", "= \"127.0.0.1:" + port + "\"");
+        Server.start(ServiceSettingsFile.parse("test", text), OperatorSettings.defaults());
+    }
+
+    private void answer(HttpServerExchange exchange, byte[] body) {
+        String query = exchange.getQueryString();
+        String path = exchange.getRequestPath() + (query.isEmpty() ? "" : "?" + query);
+        if (path.equals("/machine_types")) {
+            Map<String, Object> type = new LinkedHashMap<>();
+            type.put("name", "m");
+            type.put("vcpus", 4.0);
+            type.put("ramGb", 8.0);
+            type.put("rate", 1.0);
+            type.put("yards", List.of("a"));
+            reply(exchange, 200, Map.of("hosttypes", List.of(type)));
+        } else if (path.startsWith("/machines")) {
+            reply(exchange, 503, Map.of("error", "trouble"));
+        } else {
+            try {
+                state.handle(exchange.getRequestMethod().toString(), path,
+                        body.length == 0 ? Map.of() : Cbor.decodeMap(body),
+                        (status, map) -> reply(exchange, status, map));
+            } catch (WireException e) {
+                reply(exchange, 400, Map.of());
+            }
+        }
+    }
+
+    private static void reply(HttpServerExchange exchange, int status, Map<String, Object> map) {
+        exchange.setStatusCode(status);
+        exchange.getResponseSender().send(ByteBuffer.wrap(Cbor.encode(map)));
+    }
+}
--- a/src/test/java/org/woadloom/sim/LoopbackTest.java
+++ b/src/test/java/org/woadloom/sim/LoopbackTest.java
@@ -2,92 +2,34 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import io.undertow.Undertow;
-import io.undertow.util.SameThreadExecutor;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
-import java.nio.ByteBuffer;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.woadloom.settings.ServiceSettings;
-import org.woadloom.node.Server;
-import org.woadloom.settings.OperatorSettings;
-import org.woadloom.settings.ServiceSettingsFile;
 import org.woadloom.wire.Cbor;
-import org.woadloom.wire.WireException;
 
 /** One node over real sockets on the loopback address, with the stand-in of the state service behind HTTP. */
 class LoopbackTest {
-    private final StateStandIn state = new StateStandIn(new SimLoop(),
-            new ServiceSettings.State(1_000, 1_000, 16_384, 16, null));
     private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
-    private Undertow outside;
-    private String node;
+    private LoopbackNode node;
 
     @AfterEach
     void stop() {
-        outside.stop();
-    }
-
-    private static int freePort() throws Exception {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
+        node.stop();
     }
 
     private void start() throws Exception {
-        int port = freePort();
-        outside = Undertow.builder().setIoThreads(1).setWorkerThreads(1).addHttpListener(port, "127.0.0.1")
-                .setHandler(exchange -> exchange.getRequestReceiver().receiveFullBytes((done, body) -> done.dispatch(
-                        SameThreadExecutor.INSTANCE, () -> answer(done, body)))).build();
-        outside.start();
-        node = "127.0.0.1:" + freePort();
-        String text = Files.readString(Path.of("src/build/rehearsal.toml"))
-                .replace("bind = \"127.0.0.1:18931\"", "bind = \"" + node + "\"")
-                .replace("peer_bind = \"127.0.0.1:18932\"", "peer_bind = \"127.0.0.1:" + freePort() + "\"")
-                .replace("= \"127.0.0.1:18931\"", "= \"127.0.0.1:" + port + "\"");
-        Server.start(ServiceSettingsFile.parse("test", text), OperatorSettings.defaults());
-    }
-
-    private void answer(io.undertow.server.HttpServerExchange exchange, byte[] body) {
-        String query = exchange.getQueryString();
-        String path = exchange.getRequestPath() + (query.isEmpty() ? "" : "?" + query);
-        if (path.equals("/machine_types")) {
-            Map<String, Object> type = new LinkedHashMap<>();
-            type.put("name", "m");
-            type.put("vcpus", 4.0);
-            type.put("ramGb", 8.0);
-            type.put("rate", 1.0);
-            type.put("yards", List.of("a"));
-            reply(exchange, 200, Map.of("hosttypes", List.of(type)));
-        } else if (path.startsWith("/machines")) {
-            reply(exchange, 503, Map.of("error", "trouble"));
-        } else {
-            try {
-                state.handle(exchange.getRequestMethod().toString(), path,
-                        body.length == 0 ? Map.of() : Cbor.decodeMap(body),
-                        (status, map) -> reply(exchange, status, map));
-            } catch (WireException e) {
-                reply(exchange, 400, Map.of());
-            }
-        }
-    }
-
-    private static void reply(io.undertow.server.HttpServerExchange exchange, int status, Map<String, Object> map) {
-        exchange.setStatusCode(status);
-        exchange.getResponseSender().send(ByteBuffer.wrap(Cbor.encode(map)));
+        node = new LoopbackNode();
+        node.start();
     }
 
     private HttpResponse<byte[]> ask(String method, String path, byte[] body) throws Exception {
-        return client.send(HttpRequest.newBuilder(URI.create("http://" + node + path)).method(method,
+        return client.send(HttpRequest.newBuilder(URI.create("http://" + node.address + path)).method(method,
                 body == null ? HttpRequest.BodyPublishers.noBody() : HttpRequest.BodyPublishers.ofByteArray(body))
                 .build(), HttpResponse.BodyHandlers.ofByteArray());
     }
@@ -133,7 +75,7 @@
         assertEquals(201, submit("j-2", "service", null));
         // The other node that the settings name has not said what it runs.
         assertEquals(503, submit("j-3", "batch", List.of("j-1")));
-        state.handle("POST", "/txn", Map.of("if", List.of(), "then", List.of(Map.of("put", "version/node/other", "value",
+        node.state.handle("POST", "/txn", Map.of("if", List.of(), "then", List.of(Map.of("put", "version/node/other", "value",
                 Map.of("version", 2L)))), (status, answer) -> assertEquals(200, status));
         int chained = 503;
         for (int i = 0; chained == 503 && i < 50_000; i++) {
--- a/src/test/java/org/woadloom/sim/StateStandIn.java
+++ b/src/test/java/org/woadloom/sim/StateStandIn.java
@@ -73,6 +73,10 @@
         return false;
     }
 
+    boolean holdsAny(String prefix) {
+        return entries.ceilingKey(prefix) != null && entries.ceilingKey(prefix).startsWith(prefix);
+    }
+
     Map<String, Object> value(String path) {
         Entry entry = entries.get(path);
         @SuppressWarnings("unchecked")
