Care can be switched off, and check says which fleet the settings carry

Change: zones.care in the operators' HCL (on by default); a node that has it off speaks of no standing, gives no warrants and takes no care, which is safe beside nodes that have it on, as care needs both. check prints the machines that fd_limit and cpu_share carry, at half a millisecond a report (FleetEstimate).

--- a/src/main/java/org/woadloom/cli/CheckCommand.java
+++ b/src/main/java/org/woadloom/cli/CheckCommand.java
@@ -4,6 +4,7 @@
 import org.apache.commons.cli.Options;
 import org.woadloom.core.care.CareRules;
 import org.woadloom.core.placement.RecordSize;
+import org.woadloom.node.FleetEstimate;
 import org.woadloom.node.Server;
 import org.woadloom.settings.OperatorSettings;
 import org.woadloom.settings.ServiceSettings;
@@ -42,6 +43,9 @@
         System.out.printf("at most %d workers and users connected at a time (fd_limit), %d tasks of a job placed at once"
                 + " where each has a machine of its own (value_kb)%n", Server.mostInbound(service),
                 RecordSize.tasksApart(service.state().leastValueBytes()));
+        FleetEstimate fleet = FleetEstimate.of(service);
+        System.out.printf("carries about %d machines: %d by fd_limit, %d by cpu_share and report_s%n", fleet.workers(),
+                fleet.bySockets(), fleet.byProcessor());
         ServiceSettings.State state = service.state();
         if (state.next() != null) {
             System.out.printf("the state service may fall from values of %d bytes, %d changes a transaction and %.0f a"
--- a/src/main/java/org/woadloom/node/Care.java
+++ b/src/main/java/org/woadloom/node/Care.java
@@ -46,11 +46,15 @@
         settings.peers().stream().map(Peer::label).forEach(peers::add);
     }
 
-    /** Every node runs a version that knows of care. */
+    /** Every node runs a version that knows of care, and the operators want it. */
     void allow() {
         allowed = true;
     }
 
+    boolean allowed() {
+        return allowed;
+    }
+
     void stateAnswered(boolean served) {
         if (served) {
             caretaker.stateAnswered(loop.nowMicros());
--- a/src/main/java/org/woadloom/node/LeaderDuties.java
+++ b/src/main/java/org/woadloom/node/LeaderDuties.java
@@ -54,6 +54,7 @@
     private final ServiceSettings settings;
     private final Limits limits;
     private final Rollout rollout;
+    private final Care care;
     private final java.util.function.Consumer<String> abdicate;
     private final BiConsumer<String, Warrant> warrants;
     private CommandQueue queue;
@@ -66,7 +67,7 @@
     private long cancellationsSeenMicros;
 
     LeaderDuties(Loop loop, StateClient state, CloudClient cloud, WorkerClient workers, ServiceSettings settings,
-            Limits limits, Rollout rollout, java.util.function.Consumer<String> abdicate,
+            Limits limits, Rollout rollout, Care care, java.util.function.Consumer<String> abdicate,
             BiConsumer<String, Warrant> warrants) {
         this.loop = loop;
         this.state = state;
@@ -75,6 +76,7 @@
         this.settings = settings;
         this.limits = limits;
         this.rollout = rollout;
+        this.care = care;
         this.abdicate = abdicate;
         this.warrants = warrants;
     }
@@ -105,7 +107,7 @@
     void tellStorage() {
         toldWrites = state.writesPerSecond();
         queue.add(new Command.StorageSeen(rollout.format() == RecordFormat.COMPACT ? limits.valueBytes()
-                : limits.valueBytesNow(), rollout.format(), toldWrites, rollout.care()));
+                : limits.valueBytesNow(), rollout.format(), toldWrites, care.allowed()));
     }
 
     void end() {
--- a/src/main/java/org/woadloom/node/Node.java
+++ b/src/main/java/org/woadloom/node/Node.java
@@ -55,6 +55,7 @@
 
     private final Loop loop;
     private final ServiceSettings settings;
+    private final OperatorSettings operator;
     private final Limits limits;
     private final StateClient state;
     private final Rollout rollout;
@@ -85,13 +86,14 @@
             OperatorSettings operator, Random random) {
         this.loop = loop;
         this.settings = settings;
+        this.operator = operator;
         limits = new Limits(settings.state());
         care = new Care(loop, settings, random);
         state = new StateClient(loop, transport, settings, limits, random, care::stateAnswered);
         rollout = new Rollout(loop, state, settings, this::versionAgreed);
         cloud = new CloudClient(loop, transport, settings);
         duties = new LeaderDuties(loop, state, cloud, new WorkerClient(transport,
-                settings.resources().fdLimit() / 8), settings, limits, rollout, this::abdicate, this::giveWarrant);
+                settings.resources().fdLimit() / 8), settings, limits, rollout, care, this::abdicate, this::giveWarrant);
         Core core = new Core(CoreSettings.of(settings, operator));
         queue = new CommandQueue(loop, core, metrics, MOST_REPORTS_WAITING, duties::execute);
         duties.attach(queue);
@@ -133,13 +135,15 @@
 
             @Override
             public NodeStanding standing() {
-                return care.standing();
+                return care.allowed() ? care.standing() : null;
             }
 
             @Override
             public void stands(String peer, NodeStanding standing) {
-                care.stands(peer, standing);
-                duties.nodeSpoke(peer, standing);
+                if (care.allowed()) {
+                    care.stands(peer, standing);
+                    duties.nodeSpoke(peer, standing);
+                }
             }
 
             @Override
@@ -193,7 +197,7 @@
     }
 
     private void versionAgreed() {
-        if (rollout.care()) {
+        if (rollout.care() && operator.care()) {
             care.allow();
         }
         if (duties.ready()) {
--- a/src/main/java/org/woadloom/node/PeerLinks.java
+++ b/src/main/java/org/woadloom/node/PeerLinks.java
@@ -31,7 +31,7 @@
 
         void carried(byte[] report, Consumer<Response> answer);
 
-        /** How this node stands, for the leader. */
+        /** How this node stands, for the leader; null where it does not speak of that. */
         NodeStanding standing();
 
         void stands(String peer, NodeStanding standing);
@@ -82,14 +82,15 @@
         }
         PeerMessage ping = new PeerMessage.Ping(election.knownTerm(), leader == null ? "" : leader);
         labels.forEach(label -> net.send(label, ping));
-        if (rollout.care() && leader != null) {
+        NodeStanding standing = inbox.standing();
+        if (standing != null && leader != null) {
+            PeerMessage mine = new PeerMessage.Stands(standing);
             if (election.leads()) {
-                inbox.stands(leader, inbox.standing());
+                inbox.stands(leader, standing);
                 // One that was started while the state service is down learns from it what is agreed on.
-                PeerMessage mine = new PeerMessage.Stands(inbox.standing());
                 labels.forEach(label -> net.send(label, mine));
             } else {
-                net.send(leader, new PeerMessage.Stands(inbox.standing()));
+                net.send(leader, mine);
             }
         }
         loop.schedule(PING_MICROS, this::ping);
--- a/src/main/java/org/woadloom/settings/OperatorSettings.java
+++ b/src/main/java/org/woadloom/settings/OperatorSettings.java
@@ -4,17 +4,17 @@
 
 /** The operators' own settings, each with a default. Durations are microseconds. */
 public record OperatorSettings(long reservationTtlMicros, long reservationRenewMicros, double bigTaskShare, double headroom,
-        long idleReturnMicros, long quarantineMicros) {
+        long idleReturnMicros, long quarantineMicros, boolean care) {
 
     public static OperatorSettings defaults() {
-        return new OperatorSettings(60_000_000, 20_000_000, 0.5, 0.25, 45_000_000, 120_000_000);
+        return new OperatorSettings(60_000_000, 20_000_000, 0.5, 0.25, 45_000_000, 120_000_000, true);
     }
 
     /** The settings as lines of the file that would set them. */
     public String describe() {
         return String.format(Locale.ROOT, "reservation.ttl_s = %s%nreservation.renew_s = %s%n"
                 + "reservation.big_task_share = %s%ncapacity.headroom = %s%ncapacity.idle_return_s = %s%n"
-                + "machines.quarantine_s = %s%n", reservationTtlMicros / 1e6, reservationRenewMicros / 1e6,
-                bigTaskShare, headroom, idleReturnMicros / 1e6, quarantineMicros / 1e6);
+                + "machines.quarantine_s = %s%nzones.care = %s%n", reservationTtlMicros / 1e6, reservationRenewMicros / 1e6,
+                bigTaskShare, headroom, idleReturnMicros / 1e6, quarantineMicros / 1e6, care);
     }
 }
--- a/src/main/java/org/woadloom/settings/OperatorSettingsFile.java
+++ b/src/main/java/org/woadloom/settings/OperatorSettingsFile.java
@@ -36,7 +36,8 @@
                 number(file, flat, "reservation.big_task_share", d.bigTaskShare(), 0.01, 1),
                 number(file, flat, "capacity.headroom", d.headroom(), 0, 10),
                 micros(file, flat, "capacity.idle_return_s", d.idleReturnMicros()),
-                micros(file, flat, "machines.quarantine_s", d.quarantineMicros()));
+                micros(file, flat, "machines.quarantine_s", d.quarantineMicros()),
+                flag(file, flat, "zones.care", d.care()));
         if (!flat.isEmpty()) {
             throw new SettingsException(file + ": " + flat.keySet().iterator().next() + ": no such setting");
         }
@@ -66,6 +67,17 @@
         return Math.round(number(file, flat, key, otherwise / 1e6, 0.1, 86_400) * 1e6);
     }
 
+    private static boolean flag(String file, Map<String, Object> flat, String key, boolean otherwise)
+            throws SettingsException {
+        if (!flat.containsKey(key)) {
+            return otherwise;
+        }
+        if (flat.remove(key) instanceof Boolean value) {
+            return value;
+        }
+        throw new SettingsException(file + ": " + key + ": expected true or false");
+    }
+
     private static double number(String file, Map<String, Object> flat, String key, double otherwise, double least,
             double most) throws SettingsException {
         if (!flat.containsKey(key)) {
--- a/src/test/java/org/woadloom/settings/SettingsTest.java
+++ b/src/test/java/org/woadloom/settings/SettingsTest.java
@@ -1,6 +1,7 @@
 package org.woadloom.settings;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -9,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.woadloom.node.FleetEstimate;
 
 class SettingsTest {
     private static String good() throws Exception {
@@ -36,6 +38,14 @@
         assertTrue(e.getMessage().startsWith("f.toml: " + expected), e.getMessage());
     }
 
+    @Test
+    void theFleetThatSettingsCarryIsBoundBySocketsOrProcessor() throws Exception {
+        ServiceSettings settings = ServiceSettingsFile.parse("f.toml", good());
+        assertEquals(112, FleetEstimate.of(settings).workers(), "200 sockets");
+        ServiceSettings large = ServiceSettingsFile.parse("f.toml", good().replace("fd_limit = 200", "fd_limit = 9000"));
+        assertEquals(1_000, FleetEstimate.of(large).workers(), "one core, a report a second from each");
+    }
+
     @Test
     void operatorSettingsHaveDefaultsAndRefuseUnknownKeys() throws Exception {
         assertEquals(OperatorSettings.defaults(), OperatorSettingsFile.parse("o.hcl", ""));
@@ -44,6 +54,8 @@
         assertEquals(30_000_000, set.reservationTtlMicros());
         assertEquals(7_500_000, set.reservationRenewMicros());
         assertEquals(1.0, set.headroom());
+        assertTrue(set.care());
+        assertFalse(OperatorSettingsFile.parse("o.hcl", "zones {\n care = false\n}\n").care());
         SettingsException unknown = assertThrows(SettingsException.class,
                 () -> OperatorSettingsFile.parse("o.hcl", "capacity {\n haedroom = 1\n}\n"));
         assertEquals("o.hcl: capacity.haedroom: no such setting", unknown.getMessage());
