A silent machine is given up for any work on it

Change: a machine that is silent for three reports is deleted for any work on it, unless much of its zone is silent.

--- a/src/main/java/org/woadloom/core/capacity/Capacity.java
+++ b/src/main/java/org/woadloom/core/capacity/Capacity.java
@@ -270,10 +270,10 @@
             if (machine.leaving || machine.deleted || reservations.holdsAny(machine)) {
                 continue;
             }
-            if (replicasSilent(machine)) {
+            if (silentWithWork(machine)) {
                 machine.leave();
                 machine.abandoned = true;
-                world.note("machine " + machine.host + " is given up: silent, and replicas are down with it");
+                world.note("machine " + machine.host + " is given up: silent, with work on it");
             } else if (neverCame(machine) || lost(machine) || machine.takenMicros >= 0 && machine.empty()) {
                 machine.leave();
                 world.note("machine " + machine.host + " is given up");
@@ -304,12 +304,12 @@
     }
 
     /**
-     * Replicas on a silent machine serve nobody. Deleting it proves that they are gone long before its lease would.
-     * Where much of a zone is silent at once, the fault is elsewhere, and the machines are left alone.
+     * Work on a silent machine is most likely lost. Deleting it proves that it is gone long before its lease would, and it
+     * can start elsewhere. Where much of a zone is silent at once, the fault is elsewhere, and the machines are left alone.
      */
-    private boolean replicasSilent(Machine machine) {
+    private boolean silentWithWork(Machine machine) {
         if (!machine.up() || silence(machine) < 3 * world.settings.reportMicros() + SILENCE_MARGIN_MICROS
-                || !hasReplicas(machine)) {
+                || !hasWork(machine)) {
             return false;
         }
         int all = 0;
@@ -327,9 +327,9 @@
         return world.nowMicros - Math.max(machine.lastHeardMicros, world.startedMicros);
     }
 
-    private static boolean hasReplicas(Machine machine) {
+    private static boolean hasWork(Machine machine) {
         for (Placement placement : machine.placements()) {
-            if (placement.job.description.service() && !placement.halting()) {
+            if (!placement.halting()) {
                 return true;
             }
         }
--- a/src/test/java/org/woadloom/sim/FleetLoad.java
+++ b/src/test/java/org/woadloom/sim/FleetLoad.java
@@ -170,19 +170,19 @@
             ending.destroyForcibly();
             listedBytes = 0;
             firstLaunch = -1;
-            watchTakeOver(loop.nowMicros(), term, workers.size(), done);
+            watchTakeOver(loop.nowMicros(), term, done);
         });
         done.await(60, TimeUnit.SECONDS);
     }
 
-    private void watchTakeOver(long from, long term, int fleet, CountDownLatch done) {
+    private void watchTakeOver(long from, long term, CountDownLatch done) {
         long reached = workers.values().stream().filter(w -> w.epoch >> Machine.FENCE_BITS > term).count();
-        if (reached >= fleet * 0.95 && firstLaunch >= 0) {
+        if (reached >= workers.size() * 0.95 && firstLaunch >= 0) {
             System.out.printf("takeover: first launch after %.1f s, 95 %% of the workers reached after %.1f s, %d KB of records"
                     + " read%n", (firstLaunch - from) / 1e6, (loop.nowMicros() - from) / 1e6, listedBytes / 1024);
             done.countDown();
         } else {
-            loop.schedule(50_000, () -> watchTakeOver(from, term, fleet, done));
+            loop.schedule(50_000, () -> watchTakeOver(from, term, done));
         }
     }
 
