Letters are not taken back once a node's warrant has run out

Cause, found by reading the change: a node cut off from everything took its workers' reports back from the letters every 0.7 s, also when it could not take care of them any more, so a report waited for an answer longer than its worker.

Change: they are taken back only while the warrant lasts; after that a letter's own time ends the wait with a 503 as before.

--- a/src/main/java/org/woadloom/core/care/Caretaker.java
+++ b/src/main/java/org/woadloom/core/care/Caretaker.java
@@ -57,18 +57,23 @@
     }
 
     /** True while this node has lost the leader and the state service for long enough. */
-    public boolean cutOff(long nowMicros) {
+    private boolean cutOff(long nowMicros) {
         return stateFails && nowMicros > careFromMicros();
     }
 
+    /** True while it is cut off and its warrant lasts. */
+    public boolean mayCare(long nowMicros) {
+        return rules.worthwhile() && cutOff(nowMicros) && nowMicros <= untilMicros;
+    }
+
     private long careFromMicros() {
         return Math.max(contactMicros, stateMicros) + rules.patienceMicros();
     }
 
     /** Whether to renew a worker's lease; that it is done is remembered for the leader. */
     public boolean takesCare(String workersYard, long workersTerm, long nowMicros) {
-        if (!rules.worthwhile() || !cutOff(nowMicros) || nowMicros > untilMicros || !workersYard.equals(yard)
-                || workersTerm > term || workersTerm == 0) {
+        if (!mayCare(nowMicros) || !workersYard.equals(yard) || workersTerm > term
+                || workersTerm == 0) {
             return false;
         }
         caredMicros = nowMicros;
--- a/src/main/java/org/woadloom/node/Care.java
+++ b/src/main/java/org/woadloom/node/Care.java
@@ -75,15 +75,15 @@
         caretaker.warranted(warrant);
     }
 
-    /** True once this node has lost the leader and the state service for long enough to take care, if it may. */
-    boolean cutOff() {
-        return allowed && caretaker.cutOff(loop.nowMicros());
+    /** True while this node has lost the leader and the state service, and its warrant lasts. */
+    boolean mayCare() {
+        return allowed && caretaker.mayCare(loop.nowMicros());
     }
 
     /** The answer to a report that finds no leader: the worker's own token and no orders; null where care may not be taken. */
     Response answer(byte[] report) {
         long now = loop.nowMicros();
-        if (!cutOff()) {
+        if (!mayCare()) {
             return null;
         }
         try {
--- a/src/main/java/org/woadloom/node/Node.java
+++ b/src/main/java/org/woadloom/node/Node.java
@@ -190,7 +190,7 @@
             probing = true;
             state.get(Urgency.URGENT, Keys.LEADER, (result, entry, generation) -> probing = false);
         }
-        if (care.cutOff()) {
+        if (care.mayCare()) {
             parked.release();
             mailbox.takeBack().forEach(report -> route(report.body(), report.answer(), report.untilMicros()));
         }
