Revert: ordinary room stands by for the replicas that come next

Room can't be rented for what is missing: the smaller zone's ordinary machines are all taken, and every service needs half of its replicas there.

--- a/src/main/java/org/woadloom/core/capacity/Capacity.java
+++ b/src/main/java/org/woadloom/core/capacity/Capacity.java
@@ -11,7 +11,6 @@
 import org.woadloom.core.Command;
 import org.woadloom.core.Effect;
 import org.woadloom.core.World;
-import org.woadloom.core.jobs.Arrivals;
 import org.woadloom.core.jobs.Job;
 import org.woadloom.core.jobs.Placement;
 import org.woadloom.core.machines.Machine;
@@ -147,7 +146,6 @@
                 tasks -= fits;
             }
         }
-        standBy(supply, wanted);
         for (Map.Entry<Kind, Integer> entry : wanted.entrySet()) {
             if (claims.size() >= MAX_CLAIMS) {
                 break;
@@ -162,85 +160,6 @@
         }
     }
 
-    /**
-     * Has ordinary room rented for the replicas of services that are likely to come while a machine boots: no other machine
-     * may run them, and nothing stops for them but what ranks lower.
-     */
-    private void standBy(List<Supply> supply, Map<Kind, Integer> wanted) {
-        Arrivals.Replicas next = next();
-        if (next == null) {
-            return;
-        }
-        Map<String, Integer> ready = standing(next.room());
-        for (Supply s : supply) {
-            if (!s.kind.reclaimable) {
-                ready.merge(s.kind.yard, s.free.floor().count(next.room()), Integer::sum);
-            }
-        }
-        for (Map.Entry<String, Integer> entry : ready.entrySet()) {
-            int missing = next.tasks() - entry.getValue();
-            while (missing > 0) {
-                Kind kind = cheapestOrdinary(next.room(), missing, entry.getKey());
-                if (kind == null) {
-                    break;
-                }
-                wanted.merge(kind, 1, Integer::sum);
-                missing -= Room.of(kind.type).count(next.room());
-            }
-        }
-    }
-
-    private Arrivals.Replicas next() {
-        long boot = Long.MAX_VALUE;
-        for (MachineType type : world.types.values()) {
-            boot = Math.min(boot, type.readyMicros());
-        }
-        return world.arrivals.nextReplicas(world.nowMicros, boot);
-    }
-
-    /** For each zone, how many replicas of the size its ordinary machines that are up could take besides those they have. */
-    private Map<String, Integer> standing(Room room) {
-        Map<String, Integer> standing = new LinkedHashMap<>();
-        for (MachineType type : world.types.values()) {
-            type.yards().forEach(yard -> standing.putIfAbsent(yard, 0));
-        }
-        for (Machine machine : world.machines.values()) {
-            if (!machine.reclaimable && eligibility.takesTasks(machine)) {
-                standing.merge(machine.yard, replicasMore(machine, room), Integer::sum);
-            }
-        }
-        return standing;
-    }
-
-    private static int replicasMore(Machine machine, Room room) {
-        Room free = machine.size();
-        for (Placement placement : machine.placements()) {
-            if (placement.job.description.service() && !placement.halting()) {
-                free = free.minus(placement.job.room);
-            }
-        }
-        return free.floor().count(room);
-    }
-
-    private Kind cheapestOrdinary(Room room, int tasks, String yard) {
-        Kind best = null;
-        double bestPrice = 0;
-        for (MachineType type : world.types.values()) {
-            int fits = Math.min(tasks, Room.of(type).count(room));
-            Kind kind = new Kind(type, yard, false);
-            if (fits < 1 || !type.yards().contains(yard)
-                    || notBefore.getOrDefault(kind, Long.MIN_VALUE) > world.nowMicros) {
-                continue;
-            }
-            double price = kind.price() / fits;
-            if (best == null || price < bestPrice) {
-                best = kind;
-                bestPrice = price;
-            }
-        }
-        return best;
-    }
-
     /** A zone is scarce where every ordinary kind was refused lately: what is there is for work that has no choice. */
     private void noteScarceYards() {
         world.scarceYards.clear();
@@ -364,19 +283,12 @@
         }
         // The dearest first: what is kept should be cheap.
         idle.sort(Comparator.comparingDouble((Machine machine) -> -machine.pricePerCpu()));
-        Arrivals.Replicas next = next();
-        Map<String, Integer> standing = next == null ? Map.of() : standing(next.room());
         for (Machine machine : idle) {
             long left = free.minus(machine.size()).cpu();
-            int replicas = next == null || machine.reclaimable ? 0 : replicasMore(machine, next.room());
-            if (replicas > 0 && standing.get(machine.yard) - replicas < next.tasks()) {
-                continue;
-            }
             if (left > headroom && world.nowMicros - machine.idleSinceMicros > patience(machine, left, headroom)
                     && world.nowMicros - machine.rentedMicros > LEAST_CHARGE_MICROS) {
                 machine.leave();
                 free = free.minus(machine.size());
-                standing.computeIfPresent(machine.yard, (yard, count) -> count - replicas);
                 world.note("machine " + machine.host + " is returned: idle");
             }
         }
