The loopback tests share their job

Cause: the tests of malformed input and of the loopback node wrote the same job out, as a look for duplicates showed. Change: LoopbackNode holds it.

--- a/src/test/java/org/woadloom/sim/BadInputTest.java
+++ b/src/test/java/org/woadloom/sim/BadInputTest.java
@@ -84,17 +84,7 @@
     }
 
     private static Map<String, Object> job() {
-        Map<String, Object> map = new LinkedHashMap<>();
-        map.put("uid", "j-000412");
-        map.put("jobclass", "class");
-        map.put("crew", "team");
-        map.put("shape", "batch");
-        map.put("rank", "high");
-        map.put("shards", 3L);
-        map.put("vcpus", 1.0);
-        map.put("ramGb", 1.0);
-        map.put("bundle", "img");
-        return map;
+        return LoopbackNode.job("j-000412", "team");
     }
 
     private static Map<String, Object> task() {
--- a/src/test/java/org/woadloom/sim/LoopbackNode.java
+++ b/src/test/java/org/woadloom/sim/LoopbackNode.java
@@ -76,4 +76,19 @@
         exchange.setStatusCode(status);
         exchange.getResponseSender().send(ByteBuffer.wrap(Cbor.encode(map)));
     }
+
+    /** A job of three small tasks that the node takes. */
+    static Map<String, Object> job(String uid, String crew) {
+        Map<String, Object> map = new LinkedHashMap<>();
+        map.put("uid", uid);
+        map.put("jobclass", "class");
+        map.put("crew", crew);
+        map.put("shape", "batch");
+        map.put("rank", "high");
+        map.put("shards", 3L);
+        map.put("vcpus", 1.0);
+        map.put("ramGb", 1.0);
+        map.put("bundle", "img");
+        return map;
+    }
 }
--- a/src/test/java/org/woadloom/sim/LoopbackTest.java
+++ b/src/test/java/org/woadloom/sim/LoopbackTest.java
@@ -6,7 +6,6 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
@@ -35,25 +34,11 @@
     }
 
     private static byte[] job(String crew) {
-        return Cbor.encode(job("j-000412", crew));
-    }
-
-    private static Map<String, Object> job(String uid, String crew) {
-        Map<String, Object> map = new LinkedHashMap<>();
-        map.put("uid", uid);
-        map.put("jobclass", "class");
-        map.put("crew", crew);
-        map.put("shape", "batch");
-        map.put("rank", "high");
-        map.put("shards", 3L);
-        map.put("vcpus", 1.0);
-        map.put("ramGb", 1.0);
-        map.put("bundle", "img");
-        return map;
+        return Cbor.encode(LoopbackNode.job("j-000412", crew));
     }
 
     private int submit(String uid, String shape, Object awaits) throws Exception {
-        Map<String, Object> map = job(uid, "team");
+        Map<String, Object> map = LoopbackNode.job(uid, "team");
         map.put("shape", shape);
         map.put("shards", 1L);
         map.put("awaits", awaits);
