--- a/src/main/java/org/woadloom/reads/SharedReads.java
+++ b/src/main/java/org/woadloom/reads/SharedReads.java
@@ -144,11 +144,25 @@
         underWay++;
         if (since < 0 || now - sinceMicros > gapMicros) {
             beginAnew(lastAsked, now);
+        } else if (state.refuses() || underWay > 1) {
+            probe(lastAsked, now);
         } else {
             readChanges(lastAsked, now);
         }
     }
 
+    /** In an outage those who ask are told at once, where a read of changes would keep them waiting. */
+    private void probe(long upTo, long now) {
+        state.get(Urgency.NORMAL, Keys.NOTHING, (result, entry, generation) -> {
+            if (result == Result.NOT_FOUND) {
+                readChanges(upTo, now);
+            } else {
+                underWay--;
+                answered(upTo, question -> question.answer.accept(null));
+            }
+        });
+    }
+
     private void readChanges(long upTo, long now) {
         long ofEra = era;
         state.changes(Urgency.NORMAL, Keys.JOBS, since, (result, events, generation) -> {
--- a/src/main/java/org/woadloom/state/StateClient.java
+++ b/src/main/java/org/woadloom/state/StateClient.java
@@ -112,6 +112,7 @@
     private long heldUntilMicros;
     private boolean wakeScheduled;
     private long troubles;
+    private boolean refuses;
     private final Health health;
 
     private record Pending(String method, String path, byte[] body, int writeCount, long timeoutMicros,
@@ -156,6 +157,11 @@
         return troubles;
     }
 
+    /** True if the service, when it last answered, refused to serve. Reads of changes then hang instead of being refused. */
+    public boolean refuses() {
+        return refuses;
+    }
+
     public void get(Urgency urgency, String key, EntryCallback callback) {
         submit(urgency, new Pending("GET", "/keys/" + key, null, 0, TIMEOUT_MICROS, (status, body) -> {
             if (status == 200) {
@@ -356,6 +362,7 @@
 
     private void answered(int status, int changes) {
         health.answered(status > 0 && status != 503);
+        refuses = status > 0 ? status == 503 : refuses;
         if (status == 429) {
             limits.tooFast(loop.nowMicros(), changes);
         }
--- a/src/test/java/org/woadloom/sim/SharedReadsTest.java
+++ b/src/test/java/org/woadloom/sim/SharedReadsTest.java
@@ -233,6 +233,12 @@
         assertEquals("queued", ask(0, uid(1)).status());
         store.outage(true);
         assertNull(ask(0, uid(1)));
+        int[] told = {0};
+        for (int i = 0; i < 20; i++) {
+            nodes.get(0).ask(uid(1), shown -> told[0] += shown == null ? 1 : 0);
+            run(500_000);
+        }
+        assertEquals(20, told[0], "told within half a second that the store does not answer");
         store.outage(false);
         put(uid(1), true);
         assertEquals("cancelled", ask(0, uid(1)).status());
