Reads pass by changes that wait for their budget

The leader changes as much as it may for minutes, and users' polls waited behind its changes for up to two seconds. Reads and changes have queues of their own now, the order by urgency holds within each.

--- a/src/main/java/org/woadloom/reads/SharedReads.java
+++ b/src/main/java/org/woadloom/reads/SharedReads.java
@@ -141,31 +141,37 @@
         }
         lastRoundMicros = now;
         lastCovered = lastAsked;
+        long upTo = lastAsked;
         underWay++;
         if (since < 0 || now - sinceMicros > gapMicros) {
-            beginAnew(lastAsked, now);
-        } else if (state.refuses() || underWay > 1) {
-            probe(lastAsked, now);
+            beginAnew(upTo, now);
+        } else if (state.refuses()) {
+            ifServed(upTo, () -> readChanges(upTo, now), () -> underWay--);
         } else {
-            readChanges(lastAsked, now);
+            readChanges(upTo, now);
+            if (underWay > 1) {
+                ifServed(upTo, () -> {
+                }, () -> {
+                });
+            }
         }
     }
 
-    /** In an outage those who ask are told at once, where a read of changes would keep them waiting. */
-    private void probe(long upTo, long now) {
-        state.get(Urgency.NORMAL, Keys.NOTHING, (result, entry, generation) -> {
-            if (result == Result.NOT_FOUND) {
-                readChanges(upTo, now);
-            } else {
-                underWay--;
+    /** In an outage those who ask are told at once: a read of changes hangs then, a plain one does not. */
+    private void ifServed(long upTo, Runnable served, Runnable refused) {
+        state.get(Urgency.USER, Keys.NOTHING, (result, entry, generation) -> {
+            if (result == Result.UNAVAILABLE) {
+                refused.run();
                 answered(upTo, question -> question.answer.accept(null));
+            } else {
+                served.run();
             }
         });
     }
 
     private void readChanges(long upTo, long now) {
         long ofEra = era;
-        state.changes(Urgency.NORMAL, Keys.JOBS, since, (result, events, generation) -> {
+        state.changes(Urgency.USER, Keys.JOBS, since, (result, events, generation) -> {
             underWay--;
             if (ofEra != era) {
                 return;
@@ -205,7 +211,7 @@
         }
         long ofEra = era;
         // The answer for a key that is not there names the generation.
-        state.get(Urgency.NORMAL, Keys.NOTHING, (result, entry, generation) -> {
+        state.get(Urgency.USER, Keys.NOTHING, (result, entry, generation) -> {
             underWay--;
             if (ofEra != era || since >= 0) {
                 // Another answer came first, and what happened between the two must still be read.
--- a/src/main/java/org/woadloom/state/StateClient.java
+++ b/src/main/java/org/woadloom/state/StateClient.java
@@ -15,8 +15,9 @@
 import org.woadloom.wire.WireException;
 
 /**
- * The state service's protocol. Requests wait in three queues by urgency, under a budget that stays below the
- * service's limits; a 429 or 503 holds everything but the most urgent back for a moment, with jitter.
+ * The state service's protocol. Requests wait in queues by urgency, under budgets that stay below the service's limits; a
+ * 429 or 503 holds everything but the most urgent back for a moment, with jitter. Changes have a budget of their own, and
+ * reads pass by changes that wait for it: a leader changes as much as it may for minutes, and users poll it all the while.
  */
 public final class StateClient {
     /** Requests of a lower urgency wait while one of a higher is queued. */
@@ -107,10 +108,12 @@
     private final int others;
     private final Budget requests;
     private final Budget writes;
-    private final EnumMap<Urgency, ArrayDeque<Pending>> queues = new EnumMap<>(Urgency.class);
+    private final EnumMap<Urgency, ArrayDeque<Pending>> reads = new EnumMap<>(Urgency.class);
+    private final EnumMap<Urgency, ArrayDeque<Pending>> changes = new EnumMap<>(Urgency.class);
     private int inFlight;
     private long heldUntilMicros;
-    private boolean wakeScheduled;
+    /** When it looks again by itself, {@link Long#MAX_VALUE} for never. */
+    private long wakeMicros = Long.MAX_VALUE;
     private long troubles;
     private boolean refuses;
     private final Health health;
@@ -132,7 +135,8 @@
         this.writes = new Budget(1);
         lead(false);
         for (Urgency urgency : Urgency.values()) {
-            queues.put(urgency, new ArrayDeque<>());
+            reads.put(urgency, new ArrayDeque<>());
+            changes.put(urgency, new ArrayDeque<>());
         }
     }
 
@@ -297,7 +301,7 @@
     }
 
     private void submit(Urgency urgency, Pending pending) {
-        ArrayDeque<Pending> queue = queues.get(urgency);
+        ArrayDeque<Pending> queue = (pending.writeCount > 0 ? changes : reads).get(urgency);
         if (queue.size() >= MAX_QUEUED) {
             loop.execute(() -> pending.callback.answered(HttpTransport.NOT_SENT, new byte[0]));
             return;
@@ -310,40 +314,53 @@
         while (inFlight < MAX_IN_FLIGHT) {
             long now = loop.nowMicros();
             pace(now);
-            Urgency urgency = firstQueued();
-            if (urgency == null) {
+            Pending next = next(now);
+            if (next == null) {
                 return;
             }
-            Pending next = queues.get(urgency).peekFirst();
-            long wait = Math.max(requests.waitMicros(now, 1), writes.waitMicros(now, next.writeCount));
-            if (urgency.compareTo(Urgency.URGENT) > 0) {
-                wait = Math.max(wait, heldUntilMicros - now);
-            }
-            if (wait > 0) {
-                wakeAfter(wait);
-                return;
-            }
-            queues.get(urgency).pollFirst();
             requests.take(now, 1);
             writes.take(now, next.writeCount);
             send(next);
         }
     }
 
-    private Urgency firstQueued() {
+    /** Takes the first request that may be sent now out of its queue. Where all must wait, it looks again in time. */
+    private Pending next(long now) {
+        long request = requests.waitMicros(now, 1);
+        long wait = Long.MAX_VALUE;
+        boolean changeWaits = false;
         for (Urgency urgency : Urgency.values()) {
-            if (!queues.get(urgency).isEmpty()) {
-                return urgency;
+            long held = urgency.compareTo(Urgency.URGENT) > 0 ? Math.max(request, heldUntilMicros - now) : request;
+            Pending change = changeWaits ? null : changes.get(urgency).peekFirst();
+            if (change != null) {
+                long needed = Math.max(held, writes.waitMicros(now, change.writeCount));
+                if (needed <= 0) {
+                    return changes.get(urgency).pollFirst();
+                }
+                changeWaits = true;
+                wait = Math.min(wait, needed);
+            }
+            if (!reads.get(urgency).isEmpty()) {
+                if (held <= 0) {
+                    return reads.get(urgency).pollFirst();
+                }
+                wait = Math.min(wait, held);
             }
         }
+        if (wait < Long.MAX_VALUE) {
+            wakeAfter(wait);
+        }
         return null;
     }
 
     private void wakeAfter(long micros) {
-        if (!wakeScheduled) {
-            wakeScheduled = true;
+        long at = loop.nowMicros() + micros;
+        if (at < wakeMicros) {
+            wakeMicros = at;
             loop.schedule(micros, () -> {
-                wakeScheduled = false;
+                if (wakeMicros == at) {
+                    wakeMicros = Long.MAX_VALUE;
+                }
                 pump();
             });
         }
--- a/src/test/java/org/woadloom/core/CoreFixture.java
+++ b/src/test/java/org/woadloom/core/CoreFixture.java
@@ -63,10 +63,17 @@
         return job(uid, 1, 1, 1, false, false, map);
     }
 
+    /** Tasks of one CPU each, of a class of their own. */
+    public Job ofClass(String uid, String jobClass, int shards, boolean service) {
+        Map<String, Object> map = new LinkedHashMap<>();
+        map.put("jobclass", jobClass);
+        return job(uid, 1, 1, shards, service, false, map);
+    }
+
     private Job job(String uid, double vcpus, double ramGb, int shards, boolean service, boolean apart,
             Map<String, Object> map) {
         map.put("uid", uid);
-        map.put("jobclass", "work");
+        map.putIfAbsent("jobclass", "work");
         map.put("crew", "team");
         map.put("shape", service ? "service" : "batch");
         map.put("apart", apart);
--- /dev/null
+++ b/src/test/java/org/woadloom/core/teams/ClassSharesTest.java
@@ -0,0 +1,97 @@
+package org.woadloom.core.teams;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.woadloom.core.CoreFixture;
+import org.woadloom.core.Effect;
+import org.woadloom.core.jobs.Job;
+import org.woadloom.core.machines.Machine;
+import org.woadloom.core.reservation.Reservations;
+
+/** One team, limited to 24 CPUs, on machines of 16. */
+class ClassSharesTest {
+    private final CoreFixture fixture = new CoreFixture();
+    private final ClassShares shares = new ClassShares(fixture.world);
+    private final Reservations reservations = new Reservations(fixture.world);
+    private Machine[] machines;
+
+    @BeforeEach
+    void machines() {
+        machines = new Machine[] {fixture.machine("host-1", "a"), fixture.machine("host-2", "a"), fixture.machine("host-3", "b")};
+    }
+
+    private void place(Job job, int from, int to) {
+        for (int i = from; i < to; i++) {
+            fixture.place(reservations, job, i, machines[i % machines.length]);
+        }
+    }
+
+    /** Two thirds of the limit are divided: 8 CPUs for each of two classes. */
+    @Test
+    void aClassThatWaitsIsLeftItsShareOfATeamAtItsLimit() {
+        Job service = fixture.ofClass("j-1", "web", 40, true);
+        Job array = fixture.ofClass("j-2", "work", 40, false);
+        shares.update();
+        assertEquals(16, service.allowed());
+        assertEquals(16, array.allowed());
+        place(service, 0, 16);
+        shares.update();
+        assertEquals(0, service.allowed(), "the rest is the other class's");
+        assertEquals(8, array.allowed());
+        place(array, 0, 8);
+        shares.update();
+        assertEquals(0, array.allowed());
+    }
+
+    @Test
+    void noMoreIsKeptThanWaits() {
+        Job service = fixture.ofClass("j-1", "web", 40, true);
+        fixture.ofClass("j-2", "work", 3, false);
+        shares.update();
+        assertEquals(21, service.allowed());
+    }
+
+    /** What fits into the limit is served by the order alone. */
+    @Test
+    void aTeamWithinItsLimitIsNotConcerned() {
+        Job service = fixture.ofClass("j-1", "web", 4, true);
+        Job array = fixture.ofClass("j-2", "work", 20, false);
+        shares.update();
+        assertEquals(24, service.allowed());
+        assertEquals(24, array.allowed());
+        assertTrue(fixture.effects().isEmpty());
+    }
+
+    /** Nothing is stopped for a share: it is had as the other class's tasks end. */
+    @Test
+    void aShareIsHadAsRoomComesFree() {
+        Job service = fixture.ofClass("j-1", "web", 30, true);
+        place(service, 0, 24);
+        Job array = fixture.ofClass("j-2", "work", 40, false);
+        shares.update();
+        assertEquals(0, array.allowed());
+        service.remove(service.placement(0));
+        service.remove(service.placement(1));
+        shares.update();
+        assertEquals(0, service.allowed());
+        assertEquals(2, array.allowed());
+    }
+
+    @Test
+    void theLogTellsOfATeamThatAsksForMoreThanItsLimitOnceAMinute() {
+        fixture.ofClass("j-1", "web", 40, true);
+        fixture.ofClass("j-2", "work", 40, false);
+        shares.update();
+        shares.update();
+        var told = fixture.effects();
+        assertEquals(1, told.size());
+        assertEquals("team team asks for 80 CPUs and 0 cards, more than its limit: class web uses 0 CPUs, 40 wait;"
+                + " class work uses 0 CPUs, 40 wait", ((Effect.Note) told.get(0)).text());
+        fixture.world.nowMicros += 61_000_000;
+        shares.update();
+        assertEquals(1, fixture.effects().size());
+    }
+}
--- a/src/test/java/org/woadloom/sim/SharedReadsTest.java
+++ b/src/test/java/org/woadloom/sim/SharedReadsTest.java
@@ -40,27 +40,7 @@
     private int trouble;
 
     SharedReadsTest() {
-        Loop loop = new Loop() {
-            @Override
-            public long nowMicros() {
-                return sim.now();
-            }
-
-            @Override
-            public long wallMicros() {
-                return sim.now();
-            }
-
-            @Override
-            public void execute(Runnable task) {
-                sim.after(1, task);
-            }
-
-            @Override
-            public Timer schedule(long delayMicros, Runnable task) {
-                return sim.after(delayMicros, task);
-            }
-        };
+        Loop loop = sim.loop();
         ServiceSettings settings = new ServiceSettings("node", "a", "0:1", "0:2", List.of(), "cloud", "state", List.of("a"),
                 List.of(), List.of(), new ServiceSettings.Workers(1, 1, 1), LIMITS, new ServiceSettings.Cloud(1, 1),
                 new ServiceSettings.Resources(1, 1, 1));
--- a/src/test/java/org/woadloom/sim/SimLoop.java
+++ b/src/test/java/org/woadloom/sim/SimLoop.java
@@ -41,4 +41,29 @@
         }
         return true;
     }
+
+    /** The loop of a node that never ends, with a clock that is right. */
+    Loop loop() {
+        return new Loop() {
+            @Override
+            public long nowMicros() {
+                return now();
+            }
+
+            @Override
+            public long wallMicros() {
+                return now();
+            }
+
+            @Override
+            public void execute(Runnable task) {
+                after(1, task);
+            }
+
+            @Override
+            public Timer schedule(long delayMicros, Runnable task) {
+                return after(delayMicros, task);
+            }
+        };
+    }
 }
