--- a/src/main/java/org/woadloom/net/SocketPlan.java
+++ b/src/main/java/org/woadloom/net/SocketPlan.java
@@ -27,7 +27,7 @@
     /** With more than this part of its connections in use a node makes room: the rest is for bursts and reconnections. */
     private static final double COMFORTABLE = 0.85;
     /** The part that workers may take as long as another node can take the rest of them. */
-    private static final double WORKERS = 0.75;
+    private static final double WORKERS = 0.6;
 
     public static SocketPlan of(ServiceSettings settings) {
         int all = settings.resources().fdLimit();
--- a/src/main/java/org/woadloom/node/Mailbox.java
+++ b/src/main/java/org/woadloom/node/Mailbox.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -55,6 +56,7 @@
     private final String label;
     private final Limits limits;
     private final Rollout rollout;
+    private final Random random;
     /** How much shorter packed reports are than plain ones, by the last letter. */
     private double packing = 0.25;
     private final ArrayDeque<Parcel> outgoing = new ArrayDeque<>();
@@ -65,14 +67,13 @@
     private boolean flushScheduled;
     private boolean watching;
     private long leading;
-    private long ids;
 
     /** One report on its way. */
     private record Parcel(long id, String host, Object report, int size, ParkedReports.Parked sent) {
     }
 
-    Mailbox(Loop loop, StateClient state, ServiceSettings settings, Limits limits,
-            Rollout rollout) {
+    Mailbox(Loop loop, StateClient state, ServiceSettings settings, Limits limits, Rollout rollout, Random random) {
+        this.random = random;
         this.loop = loop;
         this.state = state;
         this.label = settings.label();
@@ -120,9 +121,12 @@
         return reports;
     }
 
-    /** By the time of day, so that a restarted node takes no answer to its former self for its own. */
+    /**
+     * At random, so that a restarted node takes no answer to its former self for its own, whatever its clock says: the
+     * answer may hold a launch that was cleared since, and must not reach the worker again.
+     */
     private long newId() {
-        return loop.wallMicros() * 16 + ++ids % 16;
+        return random.nextLong() >>> 1;
     }
 
     private void flushSoon() {
--- a/src/main/java/org/woadloom/node/Node.java
+++ b/src/main/java/org/woadloom/node/Node.java
@@ -106,7 +106,7 @@
         Core core = new Core(CoreSettings.of(settings, operator));
         queue = new CommandQueue(loop, core, metrics, MOST_REPORTS_WAITING, duties::execute);
         duties.attach(queue);
-        mailbox = new Mailbox(loop, state, settings, limits, rollout);
+        mailbox = new Mailbox(loop, state, settings, limits, rollout, random);
         parked = new ParkedReports(loop, MOST_REPORTS_WAITING,
                 report -> route(report.body(), report.answer(), report.untilMicros()));
         election = new Election(loop, state, settings.label(), random, rollout, new Election.Listener() {
--- a/src/main/java/org/woadloom/node/Server.java
+++ b/src/main/java/org/woadloom/node/Server.java
@@ -3,6 +3,7 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
+import java.security.SecureRandom;
 import java.util.Random;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -42,7 +43,8 @@
         XnioLoop loop = new XnioLoop(thread);
         SocketPlan plan = SocketPlan.of(settings);
         UndertowTransport transport = new UndertowTransport(loop, thread, buffers, plan.idle());
-        Random random = new Random(System.nanoTime() ^ settings.label().hashCode());
+        // Not by clocks alone: one that stood still, or was set back, would make a process take itself for the one before.
+        Random random = new Random(new SecureRandom().nextLong());
         XnioPeerNet peers = new XnioPeerNet(loop, worker, settings);
         Node node = new Node(loop, transport, peers, settings, operator, random);
         Connections connections = new Connections(loop, plan);
