--- a/src/test/java/org/woadloom/sim/ServedTest.java
+++ b/src/test/java/org/woadloom/sim/ServedTest.java
@@ -7,6 +7,7 @@
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.woadloom.core.CoreFixture;
 import org.woadloom.core.Effect;
@@ -43,6 +44,31 @@
                 || count[0] * 4 < flood, group + " is no smaller than the flood"));
     }
 
+    /** A team floods with services that nobody cancels; its arrays get their share of its limit all the same. */
+    @ParameterizedTest
+    @CsvSource({"0,1", "14,2"})
+    void aTeamAtItsLimitServesItsArraysBesideServicesThatStay(int crowd, long seed) {
+        World world = new World(seed, new Day(Day.SHORT, Day.SHORT, Version.NOW, Day.Flaw.NONE, crowd));
+        world.servicesStay = true;
+        world.users(TROUBLED, 3);
+        world.machineFaults(TROUBLED);
+        world.run(TROUBLED);
+        int before = arraysOver(world, crowd);
+        world.run(TROUBLED + 240_000_000);
+        int over = arraysOver(world, crowd) - before;
+        assertTrue(over >= 12, over + " arrays of the team were done in four minutes at its limit");
+    }
+
+    private static int arraysOver(World world, int crowd) {
+        String team = crowd == 0 ? "red" : "crowd-0";
+        int over = 0;
+        for (String uid : world.truth.acceptedJobs()) {
+            var job = world.truth.submitted.get(uid);
+            over += job.crew().equals(team) && !job.service() && world.truth.isOver(uid) ? 1 : 0;
+        }
+        return over;
+    }
+
     /** What the leader tells is counted once a minute, and only what it has seen. */
     @Test
     void theLeaderTellsWhoWaits() {
--- a/src/test/java/org/woadloom/sim/SimLoop.java
+++ b/src/test/java/org/woadloom/sim/SimLoop.java
@@ -42,6 +42,12 @@
         return true;
     }
 
+    void run(long until) {
+        while (step(until)) {
+            continue;
+        }
+    }
+
     /** The loop of a node that never ends, with a clock that is right. */
     Loop loop() {
         return new Loop() {
--- a/src/test/java/org/woadloom/sim/StateStandIn.java
+++ b/src/test/java/org/woadloom/sim/StateStandIn.java
@@ -4,9 +4,14 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.TreeMap;
 import java.util.function.Predicate;
+import org.woadloom.net.HttpTransport;
+import org.woadloom.net.Loop;
 import org.woadloom.settings.ServiceSettings;
+import org.woadloom.state.Limits;
+import org.woadloom.state.StateClient;
 import org.woadloom.wire.Cbor;
 
 /** The state service, written from the protocol. */
@@ -38,6 +43,15 @@
         void answer(int status, Map<String, Object> body);
     }
 
+    /** The client of one node that leads or follows alone. */
+    static StateClient client(Loop loop, HttpTransport transport, ServiceSettings.State limits, long seed) {
+        ServiceSettings settings = new ServiceSettings("node", "a", "0:1", "0:2", List.of(), "cloud", "state", List.of("a"),
+                List.of(), List.of(), new ServiceSettings.Workers(1, 1, 1), limits, new ServiceSettings.Cloud(1, 1),
+                new ServiceSettings.Resources(1, 1, 1));
+        return new StateClient(loop, transport, settings, new Limits(limits), new Random(seed), served -> {
+        });
+    }
+
     void outage(boolean begins) {
         down = begins;
         if (!begins) {
