A class's least share of a team at its limit is one task at least

With many classes or large tasks the share could be less than a task, and the class would still have had nothing. It is rounded up to one task while the class uses nothing.

--- a/src/main/java/org/woadloom/core/teams/ClassShares.java
+++ b/src/main/java/org/woadloom/core/teams/ClassShares.java
@@ -21,10 +21,11 @@
     private final World world;
     private final Map<TeamUse, Long> toldMicros = new HashMap<>();
 
-    /** One class of a team: what its tasks use, and what those ask for that wait. */
+    /** One class of a team: what its tasks use, what those ask for that wait, and one of them. */
     private static final class Demand {
         Room used = Room.NONE;
         Room waiting = Room.NONE;
+        Room task = Room.NONE;
     }
 
     public ClassShares(World world) {
@@ -40,6 +41,7 @@
                         .computeIfAbsent(job.description.jobclass(), c -> new Demand());
                 demand.used = demand.used.plus(job.room.times(job.placements().size()));
                 demand.waiting = demand.waiting.plus(job.room.times(job.pending()));
+                demand.task = job.pending() > 0 ? job.room : demand.task;
             }
         }
         for (TeamUse team : world.teams.values()) {
@@ -60,6 +62,10 @@
         Map<String, Room> kept = new LinkedHashMap<>();
         demands.forEach((name, demand) -> {
             Room missing = share.minus(demand.used).floor().least(demand.waiting);
+            if (demand.used.equals(Room.NONE) && !missing.holds(demand.task)) {
+                // Less than a task would be nothing at all.
+                missing = demand.task;
+            }
             if (missing.cpu() > 0 || missing.card() > 0) {
                 kept.put(name, missing);
             }
--- a/src/test/java/org/woadloom/core/teams/ClassSharesTest.java
+++ b/src/test/java/org/woadloom/core/teams/ClassSharesTest.java
@@ -54,6 +54,15 @@
         assertEquals(21, service.allowed());
     }
 
+    @Test
+    void aShareIsOneTaskAtLeast() {
+        Job service = fixture.ofClass("j-1", "web", 40, true);
+        Job array = fixture.job("j-2", 12, 1, 3);
+        shares.update();
+        assertEquals(12, service.allowed());
+        assertEquals(1, array.allowed());
+    }
+
     /** What fits into the limit is served by the order alone. */
     @Test
     void aTeamWithinItsLimitIsNotConcerned() {
