--- a/src/main/java/org/woadloom/core/Command.java
+++ b/src/main/java/org/woadloom/core/Command.java
@@ -45,6 +45,10 @@
     record JobUnread(String uid, long stamp, boolean cancelled) implements Command {
     }
 
+    /** Somebody may be told that these jobs are cancelled, as the state service says. */
+    record CancellationsTold(List<String> uids) implements Command {
+    }
+
     /** A job's record was looked for and is not there. */
     record JobMissing(String uid) implements Command {
     }
--- a/src/main/java/org/woadloom/core/Core.java
+++ b/src/main/java/org/woadloom/core/Core.java
@@ -207,6 +207,8 @@
             l.jobs.seen(seen.record(), seen.stamp());
         } else if (command instanceof Command.JobUnread unread) {
             l.jobs.unread(unread);
+        } else if (command instanceof Command.CancellationsTold told) {
+            l.jobs.told(told.uids());
         } else if (command instanceof Command.JobMissing missing) {
             l.jobs.missing(missing.uid());
         } else if (command instanceof Command.JobFound found) {
--- a/src/main/java/org/woadloom/core/care/CareRules.java
+++ b/src/main/java/org/woadloom/core/care/CareRules.java
@@ -17,12 +17,12 @@
     }
 
     /** A span by another clock, at most: clocks drift apart by a twentieth of a percent each, and timers step. */
-    static long later(long micros) {
+    public static long later(long micros) {
         return micros + micros / 500 + MARGIN_MICROS;
     }
 
     /** A span by another clock, at least. */
-    static long sooner(long micros) {
+    public static long sooner(long micros) {
         return micros - micros / 500 - MARGIN_MICROS;
     }
 
--- a/src/main/java/org/woadloom/core/jobs/JobTable.java
+++ b/src/main/java/org/woadloom/core/jobs/JobTable.java
@@ -1,6 +1,7 @@
 package org.woadloom.core.jobs;
 
 import java.util.ArrayList;
+import java.util.List;
 import org.woadloom.core.Command;
 import org.woadloom.core.World;
 import org.woadloom.core.machines.Machine;
@@ -101,6 +102,16 @@
         }
     }
 
+    /** Users may hear that these are cancelled; the records, on whose stamps all else depends, are read when they can be. */
+    public void told(List<String> uids) {
+        for (String uid : uids) {
+            Job job = world.jobs.get(uid);
+            if (job != null && !job.cancelled) {
+                cancel(job);
+            }
+        }
+    }
+
     /** The record is gone, and only a leader's final write removes it. */
     public void missing(String uid) {
         Job job = world.jobs.get(uid);
--- a/src/main/java/org/woadloom/core/rollout/RolloutRules.java
+++ b/src/main/java/org/woadloom/core/rollout/RolloutRules.java
@@ -57,7 +57,7 @@
         if (!at.on() && feature.agreedVersion() > 0 && s.agreed >= feature.agreedVersion()) {
             return to(Step.ON, false, false, wallMicros, "an earlier version agreed on it");
         }
-        boolean held = s.asked != Verb.GO && (at.held() || s.troubled && at.step() == Step.ON && feature.revocable());
+        boolean held = s.asked != Verb.GO && (at.held() || s.troubled && at.step() == Step.ON && feature.revocable() && feature.soaks());
         if (s.asked == Verb.BACK || held) {
             return backwards(feature, s, at, held, wallMicros);
         }
--- a/src/main/java/org/woadloom/http/JobApi.java
+++ b/src/main/java/org/woadloom/http/JobApi.java
@@ -35,12 +35,21 @@
     private static final Logger LOG = LoggerFactory.getLogger(JobApi.class);
     private static final int MAX_CANCEL_TRIES = 6;
     private static final long SLOW_MICROS = 500_000;
+    /** Users wait 5 s for an answer, and 2 s for that to a poll. */
+    private static final long PATIENCE_MICROS = 4_300_000;
+    private static final long POLL_PATIENCE_MICROS = 1_600_000;
 
     /** Hears of jobs that this node made durable. */
     public interface Hint {
         void changed(JobRecord record, long stamp);
     }
 
+    /** Whether a user may be told of a cancellation that is in the store, as soon as that is known. */
+    public interface Confirmation {
+        /** The answer is false where that was not known in time: the user asks again. */
+        void mayTell(String uid, long patienceMicros, Consumer<Boolean> answer);
+    }
+
     /** Where the machine types come from; empty while they are unknown. */
     public interface Types {
         List<MachineType> types();
@@ -64,17 +73,20 @@
     private final Storage storage;
     private final Types types;
     private final Hint hint;
+    private final Confirmation confirmation;
     private final JobReader reader;
     private final SharedReads shared;
     private final Unanswered unanswered;
 
-    public JobApi(Loop loop, StateClient state, ServiceSettings settings, Storage storage, Types types, Hint hint) {
+    public JobApi(Loop loop, StateClient state, ServiceSettings settings, Storage storage, Types types, Hint hint,
+            Confirmation confirmation) {
         this.loop = loop;
         this.state = state;
         this.settings = settings;
         this.storage = storage;
         this.types = types;
         this.hint = hint;
+        this.confirmation = confirmation;
         reader = new JobReader(state, storage::seen);
         unanswered = new Unanswered(loop);
         shared = new SharedReads(loop, state, reader, settings.state(), settings.peers().size() + 1);
@@ -129,7 +141,8 @@
             if (looked == null) {
                 answer.accept(Response.unavailable("the state service does not answer"));
             } else if (looked.status() != null) {
-                answer.accept(Response.of(200, looked.status().toMap()));
+                tell(SharedReads.Shown.of(looked), PATIENCE_MICROS, () -> answer.accept(Response.of(200, looked.status().toMap())),
+                        answer);
             } else {
                 answer.accept(refusal);
             }
@@ -250,11 +263,17 @@
                 answer.accept(Response.unavailable("the state service does not answer"));
                 return;
             }
-            unanswered.answered(uid);
             if (shown.status() == null) {
+                unanswered.answered(uid);
                 answer.accept(Response.error(404, "no such job"));
             } else {
-                answer.accept(Response.of(200, shownMap(shown)));
+                tell(shown, POLL_PATIENCE_MICROS, () -> {
+                    unanswered.answered(uid);
+                    answer.accept(Response.of(200, shownMap(shown)));
+                }, refused -> {
+                    unanswered.refused(uid, !state.refuses());
+                    answer.accept(refused);
+                });
             }
         };
         if (unanswered.goesFirst(uid)) {
@@ -286,12 +305,70 @@
         cancel(uid, MAX_CANCEL_TRIES, timed("a cancellation", answer));
     }
 
+    /**
+     * Tells a user of a job's status: of a cancellation not before that is safe, and of a job that waits for others not if
+     * one of them is cancelled. Its own cancellation is the leader's to write, which may have been without the state service
+     * for long, or there may have been none.
+     */
+    private void tell(SharedReads.Shown shown, long patienceMicros, Runnable told, Consumer<Response> refused) {
+        if (shown.status().status().equals("cancelled")) {
+            confirmation.mayTell(shown.status().uid(), patienceMicros, may -> {
+                if (may) {
+                    told.run();
+                } else {
+                    refused.accept(Response.unavailable("the cancellation can't be confirmed yet"));
+                }
+            });
+        } else {
+            noneCancelled(shown.awaits(), none -> {
+                if (none) {
+                    told.run();
+                } else {
+                    refused.accept(Response.unavailable("a job before it is cancelled, and so it will be"));
+                }
+            });
+        }
+    }
+
+    /** Whether the store says of each of these jobs, and of those before them, that it is not cancelled. */
+    private void noneCancelled(List<String> uids, Consumer<Boolean> answer) {
+        if (uids.isEmpty()) {
+            answer.accept(true);
+            return;
+        }
+        int[] missing = {uids.size()};
+        boolean[] none = {true};
+        Consumer<Boolean> one = good -> {
+            none[0] &= good;
+            if (--missing[0] == 0) {
+                answer.accept(none[0]);
+            }
+        };
+        for (String uid : uids) {
+            shared.ask(uid, shown -> {
+                if (shown == null || shown.status() != null && shown.status().status().equals("cancelled")) {
+                    one.accept(false);
+                } else {
+                    noneCancelled(shown.awaits(), one);
+                }
+            });
+        }
+    }
+
+    private void tellEnd(JobStatus status, Consumer<Response> answer) {
+        tell(new SharedReads.Shown(status, List.of()), PATIENCE_MICROS, () -> answer.accept(Response.of(200, status.toMap())), answer);
+    }
+
     /** Nothing of a record that can't be read can be kept: the final state takes its place. */
     private void cancelUnread(Looked looked, Consumer<Response> answer) {
         String uid = looked.unread().uid();
-        Consumer<Boolean> end = cancelled -> answer.accept(cancelled
-                ? Response.of(200, new JobStatus(uid, "cancelled", -1, 0).toMap())
-                : Response.unavailable("the job could not be cancelled now"));
+        Consumer<Boolean> end = cancelled -> {
+            if (cancelled) {
+                tellEnd(new JobStatus(uid, "cancelled", -1, 0), answer);
+            } else {
+                answer.accept(Response.unavailable("the job could not be cancelled now"));
+            }
+        };
         if (looked.unread().status().equals("cancelled")) {
             end.accept(true);
             return;
@@ -311,7 +388,7 @@
             } else if (looked.unread() != null) {
                 cancelUnread(looked, answer);
             } else if (looked.finalState() != null || looked.record().cancelled() || looked.record().allDone()) {
-                answer.accept(Response.of(200, new JobStatus(uid, looked.status().status(), -1, 0).toMap()));
+                tellEnd(new JobStatus(uid, looked.status().status(), -1, 0), answer);
             } else {
                 JobRecord cancelled = looked.record().asCancelled();
                 RecordFormat format = looked.format() == RecordFormat.COMPACT ? looked.format() : storage.format();
@@ -319,7 +396,7 @@
                         List.of(Change.put(Keys.job(uid), cancelled.toMap(format))), (result, generation, failed) -> {
                             if (result == Result.OK) {
                                 hint.changed(cancelled, generation);
-                                answer.accept(Response.of(200, new JobStatus(uid, "cancelled", -1, 0).toMap()));
+                                tellEnd(new JobStatus(uid, "cancelled", -1, 0), answer);
                             } else if (result == Result.CONFLICT) {
                                 cancel(uid, tries - 1, answer);
                             } else {
--- a/src/main/java/org/woadloom/node/Care.java
+++ b/src/main/java/org/woadloom/node/Care.java
@@ -1,6 +1,5 @@
 package org.woadloom.node;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -15,22 +14,18 @@
 import org.woadloom.core.hearing.Hearing;
 import org.woadloom.http.Response;
 import org.woadloom.net.Loop;
-import org.woadloom.settings.Peer;
 import org.woadloom.settings.ServiceSettings;
 import org.woadloom.wire.WireException;
 import org.woadloom.wire.WorkerReport;
 
-/** Answers workers in the leader's place while this node is cut off with them, and says when a leader is cut off itself. */
+/** Answers workers in the leader's place while this node is cut off with them. */
 final class Care {
     private static final Logger LOG = LoggerFactory.getLogger(Care.class);
-    /** For how long the others must have been without the state service, so that it is down and not this node cut off. */
-    private static final long OUTAGE_MICROS = 4_000_000;
     private static final long FRESH_MICROS = 2_500_000;
 
     private final Loop loop;
     private final CareRules rules;
     private final Caretaker caretaker;
-    private final List<String> peers = new ArrayList<>();
     /** What the other nodes last said of themselves, and when. */
     private final Map<String, Heard> heard = new HashMap<>();
     /** The tokens that workers in this node's care had when that began. */
@@ -45,7 +40,6 @@
         this.loop = loop;
         rules = CareRules.of(settings.workers().leaseMicros(), settings.workers().cancelMicros());
         caretaker = new Caretaker(rules, settings.area(), random.nextLong(), loop.nowMicros());
-        settings.peers().stream().map(Peer::label).forEach(peers::add);
     }
 
     /** Every node runs a version that knows of care, and the operators want it. */
@@ -69,6 +63,10 @@
         return caretaker.standing(loop.nowMicros());
     }
 
+    long stateSilentMicros() {
+        return standing().stateSilentMicros();
+    }
+
     void stands(String peer, NodeStanding standing) {
         heard.put(peer, new Heard(loop.nowMicros(), standing));
     }
@@ -119,23 +117,4 @@
         return heard.values().stream().anyMatch(said -> now - said.atMicros <= FRESH_MICROS
                 && said.standing.stateSilentMicros() == 0);
     }
-
-    /**
-     * Whether this leader, which has read every cancellation before the given moment, must leave its workers to
-     * themselves: others may have told users of cancellations since. While all nodes say that the state service is down,
-     * nobody can have.
-     */
-    boolean mustRest(long cancellationsSeenMicros) {
-        long now = loop.nowMicros();
-        if (!allowed || !rules.worthwhile() || now - cancellationsSeenMicros <= rules.careMicros()) {
-            return false;
-        }
-        for (String peer : peers) {
-            Heard said = heard.get(peer);
-            if (said == null || now - said.atMicros > FRESH_MICROS || said.standing.stateSilentMicros() < OUTAGE_MICROS) {
-                return true;
-            }
-        }
-        return false;
-    }
 }
--- /dev/null
+++ b/src/main/java/org/woadloom/node/Confirmations.java
@@ -0,0 +1,248 @@
+package org.woadloom.node;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.woadloom.core.cancellation.CancellationWatermark;
+import org.woadloom.core.cancellation.ToldCancellations;
+import org.woadloom.core.cancellation.Vouch;
+import org.woadloom.core.cancellation.VouchTaken;
+import org.woadloom.core.care.CareRules;
+import org.woadloom.http.JobApi;
+import org.woadloom.net.Loop;
+import org.woadloom.settings.Peer;
+import org.woadloom.settings.ServiceSettings;
+import org.woadloom.wire.JobDescription;
+
+/**
+ * Users hear of a cancellation once the leader has it, or once no leader relies on a promise of this node; and a leader
+ * goes on without the state service as long as all nodes vouch for what they told.
+ */
+final class Confirmations implements JobApi.Confirmation {
+    private static final Logger LOG = LoggerFactory.getLogger(Confirmations.class);
+    /** Whoever has waited for so long keeps this node from giving new promises, so that the given one runs out. */
+    private static final long LONG_MICROS = 700_000;
+    private static final long LOOK_MICROS = 50_000;
+    private static final long LOG_MICROS = 10_000_000;
+    /** A leader that is served sees cancellations as late as this; where they have less time no lease can be ended for them. */
+    private static final long LEAST_MICROS = 5_000_000;
+
+    /** The way to the leader, and what it is told. */
+    interface Carrier {
+        /** The leader where messages reach it, this node perhaps; null otherwise. */
+        String reachedLeader();
+
+        long term();
+
+        void vouch(String leader, Vouch vouch);
+
+        void taken(String node, VouchTaken taken);
+
+        /** For how long the state service has not served this node. */
+        long stateSilentMicros();
+    }
+
+    /** What a leader knows by itself. */
+    interface View {
+        /** True once it has read the records. */
+        boolean ready();
+
+        long cancellationsSeenMicros();
+
+        void cancelled(List<String> uids);
+    }
+
+    private final Loop loop;
+    private final String self;
+    private final List<String> nodes = new ArrayList<>();
+    private final long boundMicros;
+    private final Carrier carrier;
+    private final View view;
+    private final ToldCancellations told;
+    /** Who waits for which job to be told of, the first first. */
+    private final Map<Waiting, String> waiting = new LinkedHashMap<>();
+    private CancellationWatermark watermark;
+    private boolean on;
+    private boolean looking;
+    private boolean vouching;
+    private long malformed;
+    private long restedMicros = Long.MIN_VALUE / 2;
+
+    private record Waiting(long sinceMicros, long untilMicros, Consumer<Boolean> told) {
+    }
+
+    Confirmations(Loop loop, ServiceSettings settings, Random random, Carrier carrier, View view) {
+        this.loop = loop;
+        this.carrier = carrier;
+        this.view = view;
+        self = settings.label();
+        List<String> peers = settings.peers().stream().map(Peer::label).toList();
+        nodes.add(self);
+        nodes.addAll(peers);
+        boundMicros = Math.max(LEAST_MICROS,
+                CareRules.of(settings.workers().leaseMicros(), settings.workers().cancelMicros()).careMicros());
+        told = new ToldCancellations(random.nextLong(), peers, loop.nowMicros());
+    }
+
+    /** The nodes have agreed to vouch, or have agreed no longer to: promises that were given hold all the same. */
+    void on(boolean agreed) {
+        on = agreed;
+    }
+
+    /** What is agreed on is known, and no node vouches: nor did the process before this one. */
+    void neverOn() {
+        told.nothingInherited();
+    }
+
+    // Towards users.
+
+    @Override
+    public void mayTell(String uid, long patienceMicros, Consumer<Boolean> answer) {
+        long now = loop.nowMicros();
+        told.enter(uid, now);
+        if (told.mayTell(uid, now)) {
+            answer.accept(true);
+            return;
+        }
+        waiting.put(new Waiting(now, now + patienceMicros, answer), uid);
+        vouchSoon();
+        lookLater();
+    }
+
+    private void lookLater() {
+        if (!looking && !waiting.isEmpty()) {
+            looking = true;
+            loop.schedule(LOOK_MICROS, () -> {
+                looking = false;
+                release();
+                lookLater();
+            });
+        }
+    }
+
+    private void release() {
+        long now = loop.nowMicros();
+        for (Map.Entry<Waiting, String> entry : List.copyOf(waiting.entrySet())) {
+            Waiting one = entry.getKey();
+            boolean may = told.mayTell(entry.getValue(), now);
+            if (may || now >= one.untilMicros) {
+                waiting.remove(one);
+                one.told.accept(may);
+            }
+        }
+    }
+
+    /** How many users wait to be told of a cancellation. */
+    int waiting() {
+        return waiting.size();
+    }
+
+    // Towards the leader.
+
+    private void vouchSoon() {
+        if (!vouching) {
+            vouching = true;
+            loop.execute(() -> {
+                vouching = false;
+                vouch();
+            });
+        }
+    }
+
+    /** To be called all the time: says what was told, and promises for a while. */
+    void vouch() {
+        String leader = carrier.reachedLeader();
+        if (!on || leader == null || leader.equals(self) && !view.ready()) {
+            return;
+        }
+        long now = loop.nowMicros();
+        boolean pressed = !waiting.isEmpty() && now - waiting.keySet().iterator().next().sinceMicros > LONG_MICROS;
+        Vouch vouch = told.vouch(leader, carrier.term(), !pressed, carrier.stateSilentMicros(), now);
+        if (vouch == null) {
+            return;
+        }
+        if (leader.equals(self)) {
+            heard(self, vouch);
+        } else {
+            carrier.vouch(leader, vouch);
+        }
+    }
+
+    void taken(VouchTaken taken) {
+        told.taken(taken);
+        release();
+    }
+
+    void peerSpoke(String peer, long term, boolean leads) {
+        told.heard(peer, term, leads);
+    }
+
+    // While this node leads.
+
+    void lead(long term) {
+        watermark = new CancellationWatermark(term, nodes);
+    }
+
+    void end() {
+        watermark = null;
+    }
+
+    void heard(String node, Vouch vouch) {
+        long now = loop.nowMicros();
+        String flaw = vouch.jobs().stream().allMatch(JobDescription::isUid) ? CancellationWatermark.flaw(vouch, now)
+                : "a name that is no job's";
+        if (flaw != null) {
+            malformed++;
+            LOG.warn("what {} vouches for is left alone: {}", node, flaw);
+            return;
+        }
+        if (watermark == null || !view.ready()) {
+            return;
+        }
+        VouchTaken taken = watermark.heard(node, vouch, view.cancellationsSeenMicros(), now);
+        if (taken == null) {
+            return;
+        }
+        // Before any report that comes after this: the next answer to a worker halts what it names.
+        if (!vouch.jobs().isEmpty()) {
+            view.cancelled(vouch.jobs());
+        }
+        if (node.equals(self)) {
+            taken(taken);
+        } else {
+            carrier.taken(node, taken);
+        }
+    }
+
+    long malformed() {
+        return malformed;
+    }
+
+    /** How long ago the moment is up to which this leader carries out every cancellation that was told of; 0 for others. */
+    long behindMicros() {
+        return watermark == null || !view.ready() ? 0 : Math.max(0, loop.nowMicros() - watermark.micros(view.cancellationsSeenMicros()));
+    }
+
+    /**
+     * Whether this leader must leave its workers to themselves, so that their leases end in time: somebody may have been
+     * told of a cancellation that it lacks.
+     */
+    boolean mustRest() {
+        long behind = behindMicros();
+        if (behind <= boundMicros) {
+            return false;
+        }
+        long now = loop.nowMicros();
+        if (now - restedMicros > LOG_MICROS) {
+            restedMicros = now;
+            LOG.warn("resting: cancellations may have been confirmed in the last {} s that this leader lacks; not vouched for by {}",
+                    behind / 1_000_000, watermark.behind(view.cancellationsSeenMicros()));
+        }
+        return true;
+    }
+}
--- a/src/main/java/org/woadloom/node/LeaderDuties.java
+++ b/src/main/java/org/woadloom/node/LeaderDuties.java
@@ -155,6 +155,11 @@
         return cancellationsSeenMicros;
     }
 
+    /** Users may hear that these jobs are cancelled. */
+    void cancellationsTold(List<String> uids) {
+        queue.add(new Command.CancellationsTold(uids));
+    }
+
     /** A node, this one perhaps, tells how it stands. */
     void nodeSpoke(String node, NodeStanding standing) {
         if (ready()) {
--- a/src/main/java/org/woadloom/node/Node.java
+++ b/src/main/java/org/woadloom/node/Node.java
@@ -17,6 +17,8 @@
 import org.woadloom.core.Core;
 import org.woadloom.core.CoreSettings;
 import org.woadloom.core.Effect;
+import org.woadloom.core.cancellation.Vouch;
+import org.woadloom.core.cancellation.VouchTaken;
 import org.woadloom.core.care.NodeStanding;
 import org.woadloom.core.care.Warrant;
 import org.woadloom.core.hearing.Hearing;
@@ -74,6 +76,7 @@
     private final Mailbox mailbox;
     private final ParkedReports parked;
     private final Care care;
+    private final Confirmations confirmations;
     private final Isolation isolation;
     private final Attendance attendance;
     /** Workers that came to this node instead of the leader's lately. */
@@ -118,6 +121,7 @@
             @Override
             public void elected(long term, long leaderStamp) {
                 state.lead(true);
+                confirmations.lead(term);
                 duties.begin(term, leaderStamp);
                 mailbox.lead(term, Node.this::decide);
             }
@@ -132,6 +136,7 @@
             @Override
             public void deposed(String reason) {
                 state.lead(false);
+                confirmations.end();
                 mailbox.end();
                 duties.end();
             }
@@ -164,8 +169,29 @@
             public void warranted(Warrant warrant) {
                 care.warranted(warrant);
             }
+
+            @Override
+            public void vouch() {
+                confirmations.vouch();
+            }
+
+            @Override
+            public void vouched(String peer, Vouch vouch) {
+                confirmations.heard(peer, vouch);
+            }
+
+            @Override
+            public void taken(VouchTaken taken) {
+                confirmations.taken(taken);
+            }
+
+            @Override
+            public void spoke(String peer, long term, boolean leads) {
+                confirmations.peerSpoke(peer, term, leads);
+            }
         });
-        JobApi jobs = new JobApi(loop, state, settings, storage(), () -> types, this::changed);
+        confirmations = new Confirmations(loop, settings, random, carrier(), view());
+        JobApi jobs = new JobApi(loop, state, settings, storage(), () -> types, this::changed, confirmations);
         router = new Router(gate(), jobs, this::report, metrics);
         metrics.gauge("woadloom.jobs.unanswered_s", jobs, j -> j.longestUnansweredMicros() / 1e6);
         metrics.gauge("woadloom.alone", this, node -> node.alone() ? 1 : 0);
@@ -182,6 +208,9 @@
         metrics.gauge("woadloom.rollout.unreadable", core, Core::unreadable);
         metrics.gauge("woadloom.rollout.closed", rollout, r -> r.closed() == null ? 0 : 1);
         metrics.gauge("woadloom.reservations", core, Core::reservations);
+        metrics.gauge("woadloom.cancellations.behind_s", confirmations, c -> c.behindMicros() / 1e6);
+        metrics.gauge("woadloom.cancellations.waiting", confirmations, Confirmations::waiting);
+        metrics.gauge("woadloom.cancellations.malformed", confirmations, Confirmations::malformed);
         metrics.gauge("woadloom.workers.here", attendance, Attendance::size);
     }
 
@@ -232,6 +261,10 @@
         if (rollout.on(Feature.ZONE_CARE) && operator.care()) {
             care.allow();
         }
+        confirmations.on(rollout.on(Feature.CANCELLATION_VOUCHES));
+        if (!rollout.mayBeOn(Feature.CANCELLATION_VOUCHES)) {
+            confirmations.neverOn();
+        }
         if (rollout.closed() != null) {
             election.stepDown(rollout.closed());
         }
@@ -262,6 +295,55 @@
         };
     }
 
+    private Confirmations.Carrier carrier() {
+        return new Confirmations.Carrier() {
+            @Override
+            public String reachedLeader() {
+                String leader = election.leader();
+                return leader != null && (election.leads() || peers.reaches(leader)) ? leader : null;
+            }
+
+            @Override
+            public long term() {
+                return election.knownTerm();
+            }
+
+            @Override
+            public void vouch(String leader, Vouch vouch) {
+                peers.vouch(leader, vouch);
+            }
+
+            @Override
+            public void taken(String node, VouchTaken taken) {
+                peers.taken(node, taken);
+            }
+
+            @Override
+            public long stateSilentMicros() {
+                return care.stateSilentMicros();
+            }
+        };
+    }
+
+    private Confirmations.View view() {
+        return new Confirmations.View() {
+            @Override
+            public boolean ready() {
+                return duties.ready();
+            }
+
+            @Override
+            public long cancellationsSeenMicros() {
+                return duties.cancellationsSeenMicros();
+            }
+
+            @Override
+            public void cancelled(List<String> uids) {
+                duties.cancellationsTold(uids);
+            }
+        };
+    }
+
     private JobApi.Storage storage() {
         return new JobApi.Storage() {
             @Override
@@ -420,7 +502,7 @@
             loop.schedule(LOADING_POLL_MICROS, () -> decide(body, answer, untilMicros, direct));
             return;
         }
-        if (election.leads() && duties.ready() && care.mustRest(duties.cancellationsSeenMicros())) {
+        if (election.leads() && duties.ready() && confirmations.mustRest()) {
             answer.accept(Response.unavailable("cut off from the state service for too long"));
             return;
         }
--- a/src/main/java/org/woadloom/node/PeerLinks.java
+++ b/src/main/java/org/woadloom/node/PeerLinks.java
@@ -6,6 +6,8 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.woadloom.core.cancellation.Vouch;
+import org.woadloom.core.cancellation.VouchTaken;
 import org.woadloom.core.care.NodeStanding;
 import org.woadloom.core.care.Warrant;
 import org.woadloom.http.Response;
@@ -37,6 +39,16 @@
         void stands(String peer, NodeStanding standing);
 
         void warranted(Warrant warrant);
+
+        /** It is time to vouch for what this node told. */
+        void vouch();
+
+        void vouched(String peer, Vouch vouch);
+
+        void taken(VouchTaken taken);
+
+        /** A peer knows of this term, and leads in it or does not. */
+        void spoke(String peer, long term, boolean leads);
     }
 
     private final Loop loop;
@@ -93,6 +105,7 @@
                 net.send(leader, mine);
             }
         }
+        inbox.vouch();
         loop.schedule(PING_MICROS, this::ping);
     }
 
@@ -144,6 +157,14 @@
         net.send(label, new PeerMessage.Warranted(warrant));
     }
 
+    void vouch(String leader, Vouch vouch) {
+        net.send(leader, new PeerMessage.Vouched(vouch));
+    }
+
+    void taken(String label, VouchTaken taken) {
+        net.send(label, new PeerMessage.Taken(taken));
+    }
+
     /** Has the leader decide a report; the answer is 503 if none comes while the worker waits. */
     void carry(String leader, byte[] report, Consumer<Response> answer) {
         long id = ++ids;
@@ -162,6 +183,7 @@
         link(from).heardMicros = loop.nowMicros();
         if (message instanceof PeerMessage.Ping ping) {
             rollout.heard(from, ping.rollout());
+            inbox.spoke(from, ping.term(), from.equals(ping.leader()));
             if (ping.leader() != null && !ping.leader().isEmpty()) {
                 election.heardOf(ping.leader(), ping.term());
             }
@@ -178,6 +200,10 @@
             inbox.stands(from, stands.standing());
         } else if (message instanceof PeerMessage.Warranted warranted) {
             inbox.warranted(warranted.warrant());
+        } else if (message instanceof PeerMessage.Vouched vouched) {
+            inbox.vouched(from, vouched.vouch());
+        } else if (message instanceof PeerMessage.Taken taken) {
+            inbox.taken(taken.taken());
         } else if (message instanceof PeerMessage.Carry carry) {
             inbox.carried(carry.report(), response -> net.send(from,
                     new PeerMessage.Carried(carry.id(), response.status(), response.body())));
--- a/src/main/java/org/woadloom/node/Rollout.java
+++ b/src/main/java/org/woadloom/node/Rollout.java
@@ -115,6 +115,11 @@
         return on.contains(feature);
     }
 
+    /** It may be in use at some node, as far as is known here. */
+    boolean mayBeOn(Feature feature) {
+        return !known() || on(feature) || record.of(feature.key()).required();
+    }
+
     long number() {
         return record.number();
     }
--- a/src/main/java/org/woadloom/peer/PeerCodec.java
+++ b/src/main/java/org/woadloom/peer/PeerCodec.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import java.util.function.BiConsumer;
 import java.util.function.Function;
+import org.woadloom.core.cancellation.Vouch;
+import org.woadloom.core.cancellation.VouchTaken;
 import org.woadloom.core.care.NodeStanding;
 import org.woadloom.core.care.Warrant;
 
@@ -17,6 +19,7 @@
     static final int MAX_FRAME = 256 * 1024;
     private static final int MAX_BYTES = 128 * 1024;
     private static final int MAX_TEXTS = 100;
+    private static final int MAX_JOBS = 4_000;
 
     private final Kryo kryo = new Kryo();
 
@@ -38,7 +41,8 @@
             long term = in.readLong();
             String leader = in.readString();
             return new PeerMessage.Ping(term, leader, in.position() == in.limit() ? null
-                    : new PeerMessage.Rollout(in.readLong(), readTexts(in), readTexts(in), readTexts(in)));
+                    : new PeerMessage.Rollout(in.readLong(), readTexts(in, MAX_TEXTS), readTexts(in, MAX_TEXTS),
+                            readTexts(in, MAX_TEXTS)));
         });
         register(PeerMessage.Hint.class, 13, (out, m) -> {
             out.writeLong(m.stamp());
@@ -73,6 +77,16 @@
             Warrant w = m.warrant();
             writeLongs(out, w.term(), w.saidMicros(), w.leaderMicros(), w.settledMicros());
         }, in -> new PeerMessage.Warranted(new Warrant(in.readLong(), in.readLong(), in.readLong(), in.readLong())));
+        register(PeerMessage.Vouched.class, 18, (out, m) -> {
+            Vouch v = m.vouch();
+            writeLongs(out, v.term(), v.life(), v.saidMicros(), v.sinceMicros(), v.echoMicros(), v.promiseMicros());
+            writeTexts(out, v.jobs());
+        }, in -> new PeerMessage.Vouched(new Vouch(in.readLong(), in.readLong(), in.readLong(), in.readLong(), in.readLong(),
+                in.readLong(), readTexts(in, MAX_JOBS))));
+        register(PeerMessage.Taken.class, 19, (out, m) -> {
+            VouchTaken t = m.taken();
+            writeLongs(out, t.term(), t.life(), t.saidMicros(), t.leaderMicros());
+        }, in -> new PeerMessage.Taken(new VouchTaken(in.readLong(), in.readLong(), in.readLong(), in.readLong())));
     }
 
     private <T> void register(Class<T> type, int id, BiConsumer<Output, T> writer, Function<Input, T> reader) {
@@ -100,9 +114,9 @@
         texts.forEach(out::writeString);
     }
 
-    private static List<String> readTexts(Input in) {
+    private static List<String> readTexts(Input in, int most) {
         int count = in.readInt();
-        if (count < 0 || count > MAX_TEXTS) {
+        if (count < 0 || count > most) {
             throw new KryoException("a list of " + count + " texts");
         }
         List<String> texts = new ArrayList<>();
--- a/src/main/java/org/woadloom/peer/PeerMessage.java
+++ b/src/main/java/org/woadloom/peer/PeerMessage.java
@@ -1,6 +1,8 @@
 package org.woadloom.peer;
 
 import java.util.List;
+import org.woadloom.core.cancellation.Vouch;
+import org.woadloom.core.cancellation.VouchTaken;
 import org.woadloom.core.care.NodeStanding;
 import org.woadloom.core.care.Warrant;
 
@@ -45,7 +47,15 @@
     record Stands(NodeStanding standing) implements PeerMessage {
     }
 
+    /** What the sender has told of cancellations, for the leader. Only while all nodes have agreed to vouch. */
+    record Vouched(Vouch vouch) implements PeerMessage {
+    }
+
     /** The leader's answer to that. */
+    record Taken(VouchTaken taken) implements PeerMessage {
+    }
+
+    /** The leader's answer to a standing. */
     record Warranted(Warrant warrant) implements PeerMessage {
     }
 }
--- /dev/null
+++ b/src/test/java/org/woadloom/core/cancellation/CancellationWatermarkTest.java
@@ -0,0 +1,261 @@
+package org.woadloom.core.cancellation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+
+/**
+ * One node that confirms and two leaders, of an earlier and a later term, that both believe to lead, in random orders of
+ * ends, losses, delays, refusals and clocks that drift. After each step neither leader's watermark may have passed a
+ * moment at which a user was told of a cancellation that it lacks.
+ */
+class CancellationWatermarkTest {
+    private static final long S = 1_000_000;
+
+    private final class Leader {
+        final long term;
+        final String label;
+        final double rate;
+        final CancellationWatermark watermark;
+        final Set<String> knows = new HashSet<>();
+        long seenMicros;
+        boolean steppedDown;
+
+        Leader(long term) {
+            this.term = term;
+            label = "leader-" + term;
+            rate = 1 + (random.nextDouble() - 0.5) / 1000;
+            watermark = new CancellationWatermark(term, List.of(label, "node"));
+            seesAll();
+        }
+
+        long clock() {
+            return clock(now);
+        }
+
+        long clock(long at) {
+            return term * 500 * S + (long) (at * rate);
+        }
+
+        void seesAll() {
+            seenMicros = clock();
+            knows.addAll(made);
+        }
+
+        long micros() {
+            // Of itself it vouches for everything: the node is the one that counts.
+            watermark.heard(label, new Vouch(term, 1, clock(), term * 500 * S, clock(), ToldCancellations.SILENT_PROMISE_MICROS, List.of()),
+                    clock(), clock());
+            return watermark.micros(seenMicros);
+        }
+    }
+
+    private final class Message {
+        final Runnable deliver;
+
+        Message(Runnable deliver) {
+            this.deliver = deliver;
+        }
+    }
+
+    private Random random;
+    private long now;
+    private final Set<String> made = new HashSet<>();
+    private final Map<String, Long> toldAt = new LinkedHashMap<>();
+    private final TreeMap<Long, List<Message>> under = new TreeMap<>();
+    private ToldCancellations node;
+    private int life;
+    private long nodeOffset;
+    private double nodeRate = 1;
+    private long silentSince = -1;
+    private int leaderOfNode;
+    private long lost;
+    private boolean chaos = true;
+
+    private long nodeClock() {
+        return nodeOffset + (long) (now * nodeRate);
+    }
+
+    private void send(Runnable deliver) {
+        if (random.nextInt(10) < lost) {
+            return;
+        }
+        long delay = random.nextInt(20) == 0 ? random.nextInt(20_000_000) : random.nextInt(30_000);
+        under.computeIfAbsent(now + delay, t -> new ArrayList<>()).add(new Message(deliver));
+    }
+
+    private void start(List<Leader> leaders) {
+        life++;
+        nodeOffset = random.nextInt(1_000_000_000);
+        nodeRate = 1 + (random.nextDouble() - 0.5) / 1000;
+        node = new ToldCancellations(life, leaders.stream().map(l -> l.label).toList(), nodeClock());
+        leaderOfNode = random.nextInt(leaders.size());
+    }
+
+    private void vouch(List<Leader> leaders) {
+        Leader leader = leaders.get(leaderOfNode);
+        long silent = silentSince < 0 ? 0 : now - silentSince;
+        Vouch vouch = node.vouch(leader.label, leader.term, random.nextInt(4) > 0, silent, nodeClock());
+        if (vouch == null) {
+            return;
+        }
+        ToldCancellations speaker = node;
+        send(() -> {
+            if (leader.steppedDown) {
+                return;
+            }
+            VouchTaken taken = leader.watermark.heard("node", vouch, leader.seenMicros, leader.clock());
+            if (taken != null) {
+                leader.knows.addAll(vouch.jobs());
+                send(() -> {
+                    if (speaker == node) {
+                        node.taken(taken);
+                    }
+                });
+            }
+        });
+    }
+
+    /** Returns how many were told while a leader went on without the state service, and how long the watermark moved by vouches alone. */
+    private int day(long seed) {
+        random = new Random(seed);
+        now = 0;
+        made.clear();
+        toldAt.clear();
+        under.clear();
+        List<Leader> leaders = new ArrayList<>(List.of(new Leader(1)));
+        start(leaders);
+        int byVouches = 0;
+        while (now < 200 * S) {
+            now += 50_000;
+            while (!under.isEmpty() && under.firstKey() <= now) {
+                under.pollFirstEntry().getValue().forEach(message -> message.deliver.run());
+            }
+            if (chaos && random.nextInt(100) == 0) {
+                lost = random.nextInt(3) == 0 ? 10 : random.nextInt(5);
+            }
+            if (random.nextInt(200) == 0) {
+                silentSince = silentSince < 0 ? now : -1;
+            }
+            if (leaders.size() == 1 && silentSince < 0 && now > 60 * S && random.nextInt(400) == 0) {
+                leaders.add(new Leader(2));
+            }
+            for (Leader leader : leaders) {
+                if (!leader.steppedDown && random.nextInt(60) == 0 && random.nextInt(3) == 0 && silentSince < 0) {
+                    leader.seesAll();
+                }
+                ToldCancellations hearing = node;
+                boolean leads = !leader.steppedDown;
+                long knownTerm = leads ? leader.term : 2;
+                if (random.nextInt(14) == 0) {
+                    send(() -> {
+                        if (hearing == node) {
+                            node.heard(leader.label, knownTerm, leads);
+                        }
+                    });
+                }
+            }
+            if (leaders.size() == 2 && random.nextInt(600) == 0) {
+                leaders.get(0).steppedDown = true;
+            }
+            if (chaos && random.nextInt(500) == 0) {
+                now += 50_000 + random.nextInt(8_000_000);
+                start(leaders);
+            }
+            if (leaderOfNode < leaders.size() - 1 && random.nextInt(100) == 0) {
+                leaderOfNode++;
+            }
+            if (random.nextInt(14) == 0) {
+                vouch(leaders);
+            }
+            if (silentSince < 0 && random.nextInt(10) == 0) {
+                String uid = "j-" + (random.nextInt(3) == 0 && !made.isEmpty() ? random.nextInt(made.size()) : made.size());
+                made.add(uid);
+                node.enter(uid, nodeClock());
+            }
+            for (String uid : made) {
+                if (!toldAt.containsKey(uid) && node.mayTell(uid, nodeClock())) {
+                    toldAt.put(uid, now);
+                }
+            }
+            for (Leader leader : leaders) {
+                if (leader.steppedDown) {
+                    continue;
+                }
+                long watermark = leader.micros();
+                byVouches += watermark > leader.seenMicros ? 1 : 0;
+                toldAt.forEach((uid, at) -> {
+                    if (!leader.knows.contains(uid)) {
+                        assertTrue(watermark <= leader.clock(at), uid + " was told at " + at + ", watermark of term "
+                                + leader.term + " " + (watermark - leader.clock(at)) + " later, seed " + seed);
+                    }
+                });
+            }
+        }
+        return byVouches;
+    }
+
+    @Test
+    void noWatermarkPassesWhatItsLeaderLacks() {
+        int told = 0;
+        int byVouches = 0;
+        for (long seed = 1; seed <= 60; seed++) {
+            byVouches += day(seed);
+            told += toldAt.size();
+        }
+        assertTrue(told > 3_000, told + " told");
+        assertTrue(byVouches > 20_000, byVouches + " steps on which vouches counted");
+    }
+
+    /** In an outage in which the node is reached the watermark keeps up, however long it lasts. */
+    @Test
+    void itKeepsUpWithANodeThatIsReached() {
+        CancellationWatermark watermark = new CancellationWatermark(3, List.of("node"));
+        ToldCancellations silent = new ToldCancellations(1, List.of("leader"), 0);
+        for (long at = S; at < 1_000 * S; at += S) {
+            VouchTaken taken = watermark.heard("node", silent.vouch("leader", 3, true, at, at), S, at);
+            silent.taken(taken);
+            assertTrue(at < 3 * S || watermark.micros(S) >= at, "behind at " + at);
+        }
+        // A process that is back within the promise is believed, one that stayed away longer is not.
+        long ended = 999 * S;
+        long kept = watermarkAfter(watermark, ended + 9 * S);
+        assertTrue(kept >= ended + 30 * S, "at " + kept);
+        assertEquals(kept, watermarkAfter(watermark, ended + 80 * S));
+        assertEquals(List.of("node"), watermark.behind(S));
+    }
+
+    private static long watermarkAfter(CancellationWatermark watermark, long started) {
+        ToldCancellations next = new ToldCancellations(started, List.of("leader"), started);
+        for (long at = started + S; at < started + 40 * S; at += S) {
+            next.taken(watermark.heard("node", next.vouch("leader", 3, true, at, at), S, at));
+        }
+        return watermark.micros(S);
+    }
+
+    @Test
+    void whatCannotBeIsLeftAlone() {
+        CancellationWatermark watermark = new CancellationWatermark(3, List.of("node"));
+        long before = watermark.micros(S);
+        List<Vouch> flawed = List.of(new Vouch(3, 1, 5, 6, Vouch.NONE, 0, List.of()), new Vouch(3, 1, 5, 5, Vouch.NONE, -1, List.of()),
+                new Vouch(3, 1, 5, 5, Vouch.NONE, 60 * S, List.of()), new Vouch(3, 1, 5, 5, 11 * S, 0, List.of()));
+        for (Vouch vouch : flawed) {
+            assertFalse(CancellationWatermark.flaw(vouch, 10 * S) == null);
+            assertNull(watermark.heard("node", vouch, 10 * S, 10 * S));
+        }
+        assertNull(watermark.heard("nobody", new Vouch(3, 1, 5, 5, S, 0, List.of()), 10 * S, 10 * S));
+        assertNull(watermark.heard("node", new Vouch(2, 1, 5, 5, S, 0, List.of()), 10 * S, 10 * S));
+        assertEquals(before, watermark.micros(S));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/woadloom/sim/CancellationGapTest.java
@@ -0,0 +1,193 @@
+package org.woadloom.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.woadloom.sim.Day.Flaw;
+
+/**
+ * The state service refuses the leader alone, others confirm cancellations, and then it is down for all for longer than a
+ * cancelled task may stay, while workers go on reporting to that leader. {@link Truth} checks {@code ran_cancelled}.
+ */
+class CancellationGapTest {
+    private static final long AT = 60_000_000;
+    private static final long REFUSED = 2_500_000;
+    private static final long DOWN = 64_000_000;
+    private static final long QUIET = 200_000_000;
+
+    /** What else is lost in the gap. */
+    enum Lost { NOTHING, HINTS, PEERS_UNTIL_THE_OUTAGE, PEERS_UNTIL_IN_THE_OUTAGE, PEERS_THROUGHOUT, DIRECTS }
+
+    private static World day(long seed, Flaw flaw) {
+        World world = new World(seed, new Day(Day.LONG, Day.LONG, Version.NOW, flaw, 0));
+        world.trouble = 0;
+        world.servicesStay = true;
+        world.users(AT);
+        world.run(AT);
+        return world;
+    }
+
+    private static void lose(World world, Lost lost) {
+        switch (lost) {
+            case NOTHING -> {
+            }
+            case HINTS -> world.hintsLost = true;
+            case DIRECTS -> world.directsLost = true;
+            case PEERS_UNTIL_THE_OUTAGE -> world.refusePeers(REFUSED);
+            case PEERS_UNTIL_IN_THE_OUTAGE -> world.refusePeers(REFUSED + 6_000_000);
+            case PEERS_THROUGHOUT -> world.refusePeers(REFUSED + DOWN);
+        }
+    }
+
+    /** The refusal begins, users cancel everything, and the outage comes. */
+    private static void refusedThenDown(World world, long cancelAfterMicros) {
+        world.refuseState(world.leader(), 14_000_000);
+        world.loop.after(cancelAfterMicros, world::cancelEverything);
+        world.loop.after(REFUSED, () -> world.stateOutage(DOWN));
+    }
+
+    private static int confirmedBehindItsBack(Lost lost, long seed, Flaw flaw) {
+        World world = day(seed, flaw);
+        lose(world, lost);
+        refusedThenDown(world, 300_000);
+        world.run(AT + REFUSED);
+        int confirmed = world.truth.cancelledWhileRunning;
+        world.run(QUIET);
+        return confirmed;
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void tasksAreGoneInTimeWhateverElseIsLost(Lost lost) {
+        int confirmed = 0;
+        for (long seed = 1; seed <= 3; seed++) {
+            confirmed += confirmedBehindItsBack(lost, seed, Flaw.NONE);
+        }
+        if (lost == Lost.NOTHING || lost == Lost.HINTS || lost == Lost.DIRECTS) {
+            assertTrue(confirmed > 3, "only " + confirmed + " confirmed in the gap");
+        }
+    }
+
+    /** The leader learns of every cancellation from the others: nothing is rested, and no other work is lost. */
+    @Test
+    void whatRunsOnIsNotTouchedWhereTheNodesReachEachOther() {
+        for (long seed = 1; seed <= 3; seed++) {
+            World world = day(seed, Flaw.NONE);
+            world.hintsLost = true;
+            world.refuseState(world.leader(), 14_000_000);
+            world.loop.after(300_000, () -> world.truth.running().stream().limit(3).forEach(world::cancel));
+            world.loop.after(REFUSED, () -> world.stateOutage(DOWN));
+            world.run(AT + REFUSED);
+            assertTrue(world.truth.cancelledWhileRunning > 0, "nothing confirmed in the gap, seed " + seed);
+            int running = world.truth.running().size();
+            int before = world.truth.killedByLease;
+            world.run(AT + REFUSED + DOWN);
+            assertTrue(running > 3, "only " + running + " ran, seed " + seed);
+            assertEquals(before, world.truth.killedByLease, "tasks killed, seed " + seed);
+            world.run(QUIET);
+        }
+    }
+
+    /** An outage that ends for all but the leader, cancellations, and a second outage. */
+    @Test
+    void anOutageThatEndsForAllButTheLeader() {
+        int confirmed = 0;
+        for (long seed = 1; seed <= 4; seed++) {
+            World world = day(seed, Flaw.NONE);
+            world.hintsLost = true;
+            int leader = world.leader();
+            world.stateOutage(20_000_000);
+            world.loop.after(18_000_000, () -> world.refuseState(leader, 90_000_000));
+            world.loop.after(20_200_000, world::cancelEverything);
+            world.loop.after(23_000_000, () -> world.stateOutage(DOWN));
+            world.run(AT + 23_000_000);
+            confirmed += world.truth.cancelledWhileRunning;
+            world.run(QUIET);
+        }
+        assertTrue(confirmed > 3, "only " + confirmed + " confirmed in the gap");
+    }
+
+    /**
+     * The process that confirmed ends at any step after that, and comes back without memory, soon, late or after the outage.
+     */
+    @ParameterizedTest
+    @CsvSource({"350, 100", "400, 6000", "600, 300", "1000, 60000", "2000, 300", "2600, 300", "3000, 5000", "9000, 300", "9000, 20000"})
+    void theConfirmingNodeEnds(long endsMillis, long awayMillis) {
+        for (long seed = 1; seed <= 2; seed++) {
+            World world = day(seed, Flaw.NONE);
+            world.hintsLost = true;
+            int leader = world.leader();
+            refusedThenDown(world, 300_000);
+            for (int node = 0; node < World.NODES; node++) {
+                if (node != leader) {
+                    int ending = node;
+                    world.loop.after(endsMillis * 1000, () -> world.end(ending, awayMillis * 1000));
+                }
+            }
+            world.run(QUIET);
+        }
+    }
+
+    /**
+     * The leader can't write that jobs after a cancelled one are cancelled with it until the outage is over, which is later
+     * than their users may be told that they wait ({@code orphaned}).
+     */
+    @Test
+    void jobsThatWaitForACancelledOneAreNotCalledQueuedForLonger() {
+        int polled = 0;
+        for (long seed = 1; seed <= 6; seed++) {
+            World world = new World(seed, new Day(Day.LONG, Day.LONG, Version.NOW, Flaw.NONE, 0));
+            world.trouble = 0;
+            world.servicesStay = true;
+            world.users(AT);
+            world.pipelines(AT);
+            world.run(AT);
+            refusedThenDown(world, 300_000);
+            world.run(AT + REFUSED);
+            polled += world.truth.waitingForCancelled();
+            world.run(QUIET);
+        }
+        assertTrue(polled > 3, "only " + polled + " jobs waited for a cancelled one");
+    }
+
+    /** Twice in a row, and the leader has changed meanwhile or not. */
+    @Test
+    void aSecondGapFollows() {
+        for (long seed = 1; seed <= 3; seed++) {
+            World world = day(seed, Flaw.NONE);
+            world.gap(2_000_000, DOWN);
+            world.users(AT + 150_000_000);
+            world.loop.after(87_000_000, () -> world.gap(1_500_000, DOWN));
+            world.run(AT + 300_000_000);
+        }
+    }
+
+    /** A new leader is elected within the gap, and the one before goes on being asked by those that it still reaches. */
+    @Test
+    void aNewLeaderIsElectedWithinTheGap() {
+        for (long seed = 1; seed <= 4; seed++) {
+            World world = day(seed, Flaw.NONE);
+            world.refusePeers(40_000_000);
+            world.refuseState(world.leader(), 100_000_000);
+            world.loop.after(6_000_000, world::cancelEverything);
+            world.loop.after(8_000_000, () -> world.stateOutage(DOWN));
+            world.run(QUIET);
+        }
+    }
+
+    /** The checker must be able to fail: nodes that name nothing leave the leader without knowledge. */
+    @Test
+    void nodesThatVouchForAnythingAreCaught() {
+        Violation caught = assertThrows(Violation.class, () -> {
+            for (long seed = 1; seed <= 6; seed++) {
+                confirmedBehindItsBack(Lost.HINTS, seed, Flaw.VOUCHES_FOR_ANYTHING);
+            }
+        });
+        assertTrue(caught.getMessage().contains("ran_cancelled"), caught.getMessage());
+    }
+}
--- a/src/test/java/org/woadloom/sim/Day.java
+++ b/src/test/java/org/woadloom/sim/Day.java
@@ -41,6 +41,8 @@
         COPIES_LOOK_NEW,
         /** Reports of workers that hear nothing say that they have heard. */
         DEAF_SEEM_TO_HEAR,
+        /** Nodes vouch for cancellations without naming any. */
+        VOUCHES_FOR_ANYTHING,
         /** No node ever gets an answer for one job. */
         ONE_JOB_REFUSED
     }
