--- a/src/main/java/org/woadloom/node/Rollout.java
+++ b/src/main/java/org/woadloom/node/Rollout.java
@@ -214,7 +214,9 @@
                 return;
             }
             NodeWord word = new NodeWord(life, Feature.known(), Feature.keys(able), members, starts(entry), loop.wallMicros());
-            state.txn(Urgency.URGENT, List.of(), List.of(new Change(key, word.toMap(), grant),
+            // Without the condition one without an answer, carried out after the next, hung the key on a grant that nobody renews.
+            Condition asRead = new Condition(key, entry == null ? 0 : entry.stamp());
+            state.txn(Urgency.URGENT, List.of(asRead), List.of(new Change(key, word.toMap(), grant),
                     Change.put(Keys.NODE_VERSIONS + label, ImmutableMap.of(FIELD, VERSION))), (put, stamp, failed) -> {
                         if (put == Result.OK) {
                             spoken = true;
--- a/src/test/java/org/woadloom/sim/Truth.java
+++ b/src/test/java/org/woadloom/sim/Truth.java
@@ -212,6 +212,12 @@
         return first;
     }
 
+    /** Jobs of which some tasks are done and others are on machines. */
+    int partlyDone() {
+        return (int) running().stream().filter(uid -> !submitted.get(uid).service()
+                && done.stream().anyMatch(task -> task.uid().equals(uid))).count();
+    }
+
     /** Jobs of which users know no end yet, and that a job before them is cancelled. */
     int waitingForCancelled() {
         return (int) accepted.keySet().stream().filter(uid -> !isOver(uid) && cancelledBefore(uid) != null).count();
