--- a/src/main/java/org/woadloom/core/cancellation/ToldCancellations.java
+++ b/src/main/java/org/woadloom/core/cancellation/ToldCancellations.java
@@ -21,6 +21,8 @@
      */
     public static final long SILENT_PROMISE_MICROS = 15_000_000;
     private static final long SILENT_MICROS = 1_000_000;
+    /** While the leader has not taken in for so long what somebody waits to be told of, it gets no new promise. */
+    private static final long LONG_MICROS = 700_000;
     private static final int MOST_KEPT = 2_000;
     private static final long NEVER = Long.MIN_VALUE / 4;
 
@@ -117,10 +119,9 @@
     /**
      * What to say to the leader of a term, or null to that of one that is over.
      *
-     * @param mayPromise nobody has been kept waiting for long
      * @param stateSilentMicros for how long the state service has not served this node
      */
-    public Vouch vouch(String ofLeader, long ofTerm, boolean mayPromise, long stateSilentMicros, long nowMicros) {
+    public Vouch vouch(String ofLeader, long ofTerm, long stateSilentMicros, long nowMicros) {
         if (ofTerm < term) {
             return null;
         }
@@ -135,13 +136,19 @@
             }
         });
         long said = next(nowMicros);
-        long promise = !mayPromise ? 0 : stateSilentMicros > SILENT_MICROS ? SILENT_PROMISE_MICROS : PROMISE_MICROS;
+        long promise = keepsWaiting(nowMicros) ? 0 : stateSilentMicros > SILENT_MICROS ? SILENT_PROMISE_MICROS : PROMISE_MICROS;
         if (promise > 0) {
             promisedMicros = Math.max(promisedMicros, said + promise);
         }
         return new Vouch(term, life, said, since, echoMicros, promise, jobs);
     }
 
+    /** Whoever asked may have gone meanwhile: by the time he asks again the promise has to have run out. */
+    private boolean keepsWaiting(long nowMicros) {
+        return entries.values().stream().anyMatch(entry -> !entry.told && entry.micros > takenMicros
+                && nowMicros - entry.micros > LONG_MICROS);
+    }
+
     /** What a new leader has read of the state service may be older than anything that was told: it gets all there is. */
     private void begin(String newLeader, long newTerm, long nowMicros) {
         if (promisedMicros >= nowMicros) {
--- a/src/main/java/org/woadloom/node/Confirmations.java
+++ b/src/main/java/org/woadloom/node/Confirmations.java
@@ -25,8 +25,6 @@
  */
 final class Confirmations implements JobApi.Confirmation {
     private static final Logger LOG = LoggerFactory.getLogger(Confirmations.class);
-    /** Whoever has waited for so long keeps this node from giving new promises, so that the given one runs out. */
-    private static final long LONG_MICROS = 700_000;
     private static final long LOOK_MICROS = 50_000;
     private static final long LOG_MICROS = 10_000_000;
     /** A leader that is served sees cancellations as late as this; where they have less time no lease can be ended for them. */
@@ -73,7 +71,7 @@
     private long malformed;
     private long restedMicros = Long.MIN_VALUE / 2;
 
-    private record Waiting(long sinceMicros, long untilMicros, Consumer<Boolean> told) {
+    private record Waiting(long untilMicros, Consumer<Boolean> told) {
     }
 
     Confirmations(Loop loop, ServiceSettings settings, Random random, Carrier carrier, View view) {
@@ -109,7 +107,7 @@
             answer.accept(true);
             return;
         }
-        waiting.put(new Waiting(now, now + patienceMicros, answer), uid);
+        waiting.put(new Waiting(now + patienceMicros, answer), uid);
         vouchSoon();
         lookLater();
     }
@@ -161,8 +159,7 @@
             return;
         }
         long now = loop.nowMicros();
-        boolean pressed = !waiting.isEmpty() && now - waiting.keySet().iterator().next().sinceMicros > LONG_MICROS;
-        Vouch vouch = told.vouch(leader, carrier.term(), !pressed, carrier.stateSilentMicros(), now);
+        Vouch vouch = told.vouch(leader, carrier.term(), carrier.stateSilentMicros(), now);
         if (vouch == null) {
             return;
         }
--- a/src/test/java/org/woadloom/core/cancellation/CancellationWatermarkTest.java
+++ b/src/test/java/org/woadloom/core/cancellation/CancellationWatermarkTest.java
@@ -106,7 +106,7 @@
     private void vouch(List<Leader> leaders) {
         Leader leader = leaders.get(leaderOfNode);
         long silent = silentSince < 0 ? 0 : now - silentSince;
-        Vouch vouch = node.vouch(leader.label, leader.term, random.nextInt(4) > 0, silent, nodeClock());
+        Vouch vouch = node.vouch(leader.label, leader.term, silent, nodeClock());
         if (vouch == null) {
             return;
         }
@@ -224,7 +224,7 @@
         CancellationWatermark watermark = new CancellationWatermark(3, List.of("node"));
         ToldCancellations silent = new ToldCancellations(1, List.of("leader"), 0);
         for (long at = S; at < 1_000 * S; at += S) {
-            VouchTaken taken = watermark.heard("node", silent.vouch("leader", 3, true, at, at), S, at);
+            VouchTaken taken = watermark.heard("node", silent.vouch("leader", 3, at, at), S, at);
             silent.taken(taken);
             assertTrue(at < 3 * S || watermark.micros(S) >= at, "behind at " + at);
         }
@@ -239,11 +239,30 @@
     private static long watermarkAfter(CancellationWatermark watermark, long started) {
         ToldCancellations next = new ToldCancellations(started, List.of("leader"), started);
         for (long at = started + S; at < started + 40 * S; at += S) {
-            next.taken(watermark.heard("node", next.vouch("leader", 3, true, at, at), S, at));
+            next.taken(watermark.heard("node", next.vouch("leader", 3, at, at), S, at));
         }
         return watermark.micros(S);
     }
 
+    /**
+     * A leader that is reached and answers nothing must not keep users from being told for ever: polls that are given up and
+     * come again find each time that the promise was renewed in between.
+     */
+    @Test
+    void aLeaderThatDoesNotAnswerHoldsNobodyUpForLong() {
+        ToldCancellations told = new ToldCancellations(1, List.of(), 0);
+        told.enter("j-000001", S);
+        long toldAt = 0;
+        for (long at = S; at < 60 * S && toldAt == 0; at += S / 10) {
+            if (at % (7 * S / 10) == 0) {
+                told.vouch("leader", 3, 0, at);
+            }
+            boolean asks = at / S % 5 == 0;
+            toldAt = asks && told.mayTell("j-000001", at) ? at : 0;
+        }
+        assertTrue(toldAt > 0 && toldAt < 12 * S, "told at " + toldAt);
+    }
+
     @Test
     void whatCannotBeIsLeftAlone() {
         CancellationWatermark watermark = new CancellationWatermark(3, List.of("node"));
