--- a/src/test/java/org/woadloom/sim/RandomDaysTest.java
+++ b/src/test/java/org/woadloom/sim/RandomDaysTest.java
@@ -110,9 +110,13 @@
     void aNodeThatCaresForTooLongIsCaught() {
         Violation caught = assertThrows(Violation.class, () -> {
             World world = new World(1, told(Day.SHORT.leaseMicros(), 3 * Day.SHORT.cancelMicros()));
+            // Replicas that run in the zone when it is cut off are what the node there cares for.
+            world.servicesStay = true;
             world.users(TROUBLED);
-            world.loop.after(60_000_000, () -> world.island("b", 70_000_000));
-            world.loop.after(60_200_000, world::cancelEverything);
+            world.run(60_000_000);
+            assertTrue(world.truth.tasksIn("b") > 3, "hardly anything runs in the zone");
+            world.island("b", 70_000_000);
+            world.loop.after(200_000, world::cancelEverything);
             world.run(TROUBLED);
         });
         assertTrue(caught.getMessage().contains("ran_cancelled"), caught.getMessage());
