Lost answers of the state service hold up nothing else, and a leader's write is read back

A leader heard of a write that had been carried out only after 2 s and a read. Change: a request that later ones have overtaken holds no place and says nothing of the service; 36 may be without an answer. A leader's transaction that names a job's record is looked for after 0.4 s: term and version of the record show that it was carried out; that it is not there shows nothing.

--- a/src/main/java/org/woadloom/leader/RecordWriter.java
+++ b/src/main/java/org/woadloom/leader/RecordWriter.java
@@ -88,7 +88,7 @@
             conditions.addAll(write.conditions);
             changes.addAll(write.changes);
         }
-        state.txn(urgency, conditions, changes, (result, generation, failed) -> {
+        state.txn(urgency, conditions, changes, proof(changes), (result, generation, failed) -> {
             switch (result) {
                 case OK -> batch.forEach(write -> write.callback.written(WriteOutcome.WRITTEN, generation));
                 case CONFLICT -> conflict(urgency, batch, failed);
@@ -100,6 +100,19 @@
         });
     }
 
+    /**
+     * The key of a record that nobody else can have written like this: a job's, which names the term and the version of this
+     * write. What another leader writes of a machine may well read the same.
+     */
+    private static String proof(List<Change> changes) {
+        for (Change change : changes) {
+            if (change.path().startsWith(Keys.JOBS) && change.value() != null) {
+                return change.path();
+            }
+        }
+        return null;
+    }
+
     /**
      * A value or the number of changes is above a limit that has fallen. Each record is tried by itself, so that what is
      * too large holds up nothing else; nothing was executed.
--- a/src/main/java/org/woadloom/net/SocketPlan.java
+++ b/src/main/java/org/woadloom/net/SocketPlan.java
@@ -19,7 +19,8 @@
     private static final int PROCESS = 32;
     private static final int EACH_PEER = 4;
     private static final int STRANGE_PEERS = 8;
-    private static final int STATE = 24;
+    /** 36 requests at most, most of which get no answer any more, and the watches. */
+    private static final int STATE = 48;
     private static final int CLOUD = 8;
     private static final double DIRECT = 0.1;
     private static final double IDLE = 0.05;
--- a/src/main/java/org/woadloom/state/StateClient.java
+++ b/src/main/java/org/woadloom/state/StateClient.java
@@ -18,6 +18,9 @@
  * The state service's protocol. Requests wait in queues by urgency, under budgets that stay below the service's limits; a
  * 429 or 503 holds everything but the most urgent back for a moment, with jitter. Changes have a budget of their own, and
  * reads pass by changes that wait for it: a leader changes as much as it may for minutes, and users poll it all the while.
+ *
+ * <p>Single answers get lost while the service goes on serving. A request that later ones have overtaken holds up nobody, and
+ * says nothing about the service.
  */
 public final class StateClient {
     /** Requests of a lower urgency wait while one of a higher is queued. */
@@ -90,9 +93,13 @@
     }
 
     private static final int MAX_IN_FLIGHT = 12;
+    /** With those that most likely get no answer any more. */
+    private static final int MAX_UNANSWERED = 36;
     private static final int MAX_QUEUED = 2_000;
     private static final long TIMEOUT_MICROS = 2_000_000;
     private static final long WATCH_GRACE_MICROS = 2_000_000;
+    /** Most answers take less than 10 ms, and now and then a few hundred. */
+    private static final long OVERDUE_MICROS = 400_000;
     // All nodes share the service's limits. The leader writes most; reads are for users, whom every node serves.
     private static final double LEADER_WRITES = 0.75;
     private static final double OTHERS_WRITES = 0.3;
@@ -110,7 +117,7 @@
     private final Budget writes;
     private final EnumMap<Urgency, ArrayDeque<Pending>> reads = new EnumMap<>(Urgency.class);
     private final EnumMap<Urgency, ArrayDeque<Pending>> changes = new EnumMap<>(Urgency.class);
-    private int inFlight;
+    private final InFlight inFlight = new InFlight();
     private long heldUntilMicros;
     /** When it looks again by itself, {@link Long#MAX_VALUE} for never. */
     private long wakeMicros = Long.MAX_VALUE;
@@ -118,8 +125,12 @@
     private boolean refuses;
     private final Health health;
 
+    /** @param overdue is run when there is no answer after a while; null for most requests */
     private record Pending(String method, String path, byte[] body, int writeCount, long timeoutMicros,
-            HttpTransport.Callback callback) {
+            HttpTransport.Callback callback, Runnable overdue) {
+        Pending(String method, String path, byte[] body, int writeCount, long timeoutMicros, HttpTransport.Callback callback) {
+            this(method, path, body, writeCount, timeoutMicros, callback, null);
+        }
     }
 
     public StateClient(Loop loop, HttpTransport transport, ServiceSettings settings, Limits limits, Random random,
@@ -210,6 +221,20 @@
     }
 
     public void txn(Urgency urgency, List<Condition> conditions, List<Change> changes, TxnCallback callback) {
+        txn(urgency, conditions, changes, callback, null);
+    }
+
+    /**
+     * The same, where the first of the changes that puts the given key has a value that nobody else ever writes there: when
+     * the answer is late the key is read, and the value shows that the transaction was carried out. That it is not there
+     * shows nothing, as it may be carried out still.
+     */
+    public void txn(Urgency urgency, List<Condition> conditions, List<Change> changes, String proof, TxnCallback callback) {
+        UnansweredTransaction unanswered = new UnansweredTransaction(this, urgency, conditions, changes, proof, callback);
+        txn(urgency, conditions, changes, unanswered, unanswered::look);
+    }
+
+    private void txn(Urgency urgency, List<Condition> conditions, List<Change> changes, TxnCallback callback, Runnable overdue) {
         List<Object> ifs = new ArrayList<>();
         for (Condition condition : conditions) {
             Map<String, Object> map = new LinkedHashMap<>();
@@ -235,7 +260,7 @@
                     } else {
                         callback.done(failure(status), 0, List.of());
                     }
-                }));
+                }, overdue));
     }
 
     public void grant(long lifeMicros, GrantCallback callback) {
@@ -261,7 +286,7 @@
     public void follow(String prefix, long since, long blockMicros, FollowCallback callback) {
         String path = "/follow?prefix=" + prefix + "&since=" + since + "&blockMs=" + blockMicros / 1000;
         transport.request(address, "GET", path, null, blockMicros + WATCH_GRACE_MICROS, (status, body) -> {
-            answered(status, 0);
+            answered(status, 0, false);
             followed(status, body, since, callback);
         });
     }
@@ -311,8 +336,8 @@
     }
 
     private void pump() {
-        while (inFlight < MAX_IN_FLIGHT) {
-            long now = loop.nowMicros();
+        long now = loop.nowMicros();
+        while (inFlight.size() < MAX_UNANSWERED && inFlight.awaited(now) < MAX_IN_FLIGHT) {
             pace(now);
             Pending next = next(now);
             if (next == null) {
@@ -367,24 +392,36 @@
     }
 
     private void send(Pending pending) {
-        inFlight++;
+        InFlight.Sent sent = inFlight.send(loop.nowMicros());
+        if (pending.overdue != null) {
+            loop.schedule(OVERDUE_MICROS, () -> {
+                if (!sent.answered()) {
+                    pending.overdue.run();
+                }
+            });
+        }
         transport.request(address, pending.method, pending.path, pending.body, pending.timeoutMicros,
                 (status, body) -> {
-                    inFlight--;
-                    answered(status, pending.writeCount);
+                    boolean alone = status == HttpTransport.NO_RESPONSE && inFlight.overtaken(sent);
+                    inFlight.done(sent, status > 0);
+                    answered(status, pending.writeCount, alone);
                     pending.callback.answered(status, body);
                     pump();
                 });
     }
 
-    private void answered(int status, int changes) {
+    /** @param alone this answer is lost, and others have come that were asked for later */
+    private void answered(int status, int changes, boolean alone) {
+        troubles += status == 429 || status == 503 || status <= 0 ? 1 : 0;
+        if (alone) {
+            return;
+        }
         health.answered(status > 0 && status != 503);
         refuses = status > 0 ? status == 503 : refuses;
         if (status == 429) {
             limits.tooFast(loop.nowMicros(), changes);
         }
         if (status == 429 || status == 503 || status <= 0) {
-            troubles++;
             heldUntilMicros = loop.nowMicros() + 50_000 + random.nextInt(150_000);
         }
     }
--- a/src/test/java/org/woadloom/sim/StateClientTest.java
+++ b/src/test/java/org/woadloom/sim/StateClientTest.java
@@ -1,16 +1,24 @@
 package org.woadloom.sim;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
 import org.woadloom.settings.ServiceSettings;
 import org.woadloom.state.StateClient;
 import org.woadloom.state.StateClient.Change;
+import org.woadloom.state.StateClient.Condition;
+import org.woadloom.state.StateClient.Result;
 import org.woadloom.state.StateClient.Urgency;
+import org.woadloom.wire.Cbor;
+import org.woadloom.wire.WireException;
 
 /** What waits for what on the way to the state service: 30 changes a second here, and more reads than are asked for. */
 class StateClientTest {
@@ -65,4 +73,92 @@
         run(250_000);
         assertEquals(List.of("/keys/held back for a moment"), sent);
     }
+
+    // Single answers that are lost.
+
+    private final StateStandIn store = new StateStandIn(sim, LIMITS);
+    private final Random luck = new Random(7);
+    /** What becomes of a transaction. */
+    private enum Fate { ANSWERED, ANSWER_LOST, CARRIED_OUT_LATE }
+
+    private StateClient served(Supplier<Fate> fates) {
+        StateClient served = StateStandIn.client(sim.loop(), (address, method, path, body, timeout, callback) -> {
+            boolean[] told = {false};
+            Map<String, Object> map = body == null ? Map.of() : decoded(body);
+            StateStandIn.Answer answer = (status, content) -> sim.after(3_000, () -> {
+                if (!told[0]) {
+                    told[0] = true;
+                    callback.answered(status, status > 0 ? Cbor.encode(content) : new byte[0]);
+                }
+            });
+            sim.after(timeout, () -> answer.answer(0, Map.of()));
+            switch (path.equals("/txn") ? fates.get() : Fate.ANSWERED) {
+                case ANSWERED -> store.handle(method, path, map, answer);
+                case ANSWER_LOST -> store.handle(method, path, map, (status, content) -> {
+                });
+                case CARRIED_OUT_LATE -> sim.after(4_000_000, () -> store.handle(method, path, map, (status, content) -> {
+                }));
+            }
+        }, LIMITS, 1);
+        served.lead(true);
+        return served;
+    }
+
+    private static Map<String, Object> decoded(byte[] body) {
+        try {
+            return Cbor.decodeMap(body);
+        } catch (WireException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** A lost answer used to hold one of twelve places for 2 s, and everything that is not urgent for a moment. */
+    @Test
+    void singleAnswersThatAreLostHoldUpNothingElse() {
+        StateClient served = served(() -> luck.nextInt(10) < 4 ? Fate.ANSWER_LOST : Fate.ANSWERED);
+        int[] read = {0};
+        int[] slow = {0};
+        for (long at = 0; at < 20_000_000; at += 50_000) {
+            String key = "key" + at;
+            sim.after(at, () -> {
+                served.txn(Urgency.URGENT, List.of(), List.of(Change.put(key, Map.of())), (result, generation, failed) -> {
+                });
+                long asked = sim.now();
+                served.get(Urgency.NORMAL, key, (result, entry, generation) -> {
+                    read[0]++;
+                    slow[0] += sim.now() - asked > 100_000 ? 1 : 0;
+                });
+            });
+        }
+        run(20_000_000);
+        assertEquals(0, slow[0], "of " + read[0] + " reads so many were slow");
+        assertEquals(400, read[0]);
+    }
+
+    private Result write(StateClient served, String key, Map<String, Object> value, long[] toldAfter) {
+        Result[] told = {null};
+        long from = sim.now();
+        served.txn(Urgency.URGENT, List.of(new Condition(key, 0)), List.of(Change.put(key, value)), key,
+                (result, generation, failed) -> {
+                    assertNull(told[0], "told twice");
+                    told[0] = result;
+                    toldAfter[0] = sim.now() - from;
+                });
+        run(6_000_000);
+        return told[0];
+    }
+
+    /** Whether it was carried out is read after a fraction of a second; that it was not yet is no proof. */
+    @Test
+    void aTransactionWhoseAnswerIsLostIsReadBack() {
+        long[] after = {0};
+        assertEquals(Result.OK, write(served(() -> Fate.ANSWER_LOST), "job/1", Map.of("version", 3L), after));
+        assertTrue(after[0] < 500_000, "told after " + after[0]);
+        assertEquals(Result.UNKNOWN, write(served(() -> Fate.CARRIED_OUT_LATE), "job/2", Map.of("version", 3L), after));
+        // Somebody else's value is there: the transaction failed, and its answer was lost.
+        store.handle("POST", "/txn", Map.of("if", List.of(), "then", List.of(Map.of("put", "job/3", "value", Map.of("version", 9L)))),
+                (status, content) -> {
+                });
+        assertEquals(Result.UNKNOWN, write(served(() -> Fate.ANSWER_LOST), "job/3", Map.of("version", 3L), after));
+    }
 }
