Stand-ins: closer looks, odd requests, lost answers, kept reports, calls at bad moments, tight limits

Cause: several meetings that operators name could be brought about by no test: users who look closely or ask for what can't be, answers of the store that get lost, reports kept for the next leader, machines that are up at once, teams at their limits. Truth counts every answer of 200 or 201 as having told that the job is accepted, holds two different ends of one job against the service whenever they were asked for, refuses unfit jobs that are accepted, and counts starts after a cancellation.

--- a/src/test/java/org/woadloom/sim/CloudStandIn.java
+++ b/src/test/java/org/woadloom/sim/CloudStandIn.java
@@ -4,21 +4,26 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 
 /** The cloud, written from the protocol; its list lags. */
 final class CloudStandIn {
     private static final int CAPACITY = 14;
 
     private final World world;
+    private final Random more;
     final Map<String, WorkerStandIn> machines = new LinkedHashMap<>();
     private final Map<String, String[]> booting = new LinkedHashMap<>();
     private final Map<String, List<Object>> claims = new LinkedHashMap<>();
     private List<Object> shown = new ArrayList<>();
     private int names;
     boolean down;
+    /** Until then machines are up within two seconds, some of them before their rental is answered. */
+    long quickUntil;
 
-    CloudStandIn(World world) {
+    CloudStandIn(World world, Random more) {
         this.world = world;
+        this.more = more;
         refresh();
     }
 
@@ -94,13 +99,16 @@
             return;
         }
         List<Object> hosts = new ArrayList<>();
+        boolean quick = world.loop.now() < quickUntil;
         for (long i = 0; i < (Long) body.get("count") && machines.size() + booting.size() < CAPACITY; i++) {
             String host = String.format("host-%06d", names++);
             hosts.add(host);
             booting.put(host, new String[] {(String) body.get("hosttype"), (String) body.get("yard"),
                     "" + body.get("reclaimable")});
             if (world.random.nextInt(12) > 0) {
-                world.loop.after(2_000_000 + world.random.nextInt(12_000_000), () -> boot(host));
+                long usual = 2_000_000 + world.random.nextInt(12_000_000);
+                world.loop.after(quick ? 300_000 + more.nextInt(1_700_000) : usual, () -> boot(host));
+                world.quickBoots += quick ? 1 : 0;
             }
         }
         if (hosts.isEmpty()) {
@@ -108,6 +116,10 @@
             return;
         }
         claims.put(claim, hosts);
+        if (quick) {
+            world.loop.after(more.nextInt(2_500_000), () -> answer.answer(200, Map.of("hosts", hosts)));
+            return;
+        }
         answer.answer(200, Map.of("hosts", hosts));
     }
 
--- a/src/test/java/org/woadloom/sim/Day.java
+++ b/src/test/java/org/woadloom/sim/Day.java
@@ -11,17 +11,19 @@
  *     state service's limits fall and users submit pipelines
  * @param crowd how many more teams there are, of which the first floods the service
  * @param zones two, of which one has two nodes, or three with a node in each
+ * @param tight whether the teams' limits are so low that all teams are at them throughout
  */
-record Day(Times real, Times told, Version from, Flaw flaw, int crowd, int zones) {
+record Day(Times real, Times told, Version from, Flaw flaw, int crowd, int zones, boolean tight) {
     static final Times SHORT = new Times(10_000_000, 30_000_000);
     /** A worker that finds two nodes out of reach has some of its lease left. */
     static final Times LONG = new Times(20_000_000, 50_000_000);
     static final Day PLAIN = new Day(SHORT, SHORT, Version.NOW, Flaw.NONE, 0);
     static final Day UPGRADE = new Day(SHORT, SHORT, Version.PRODUCTION, Flaw.NONE, 0);
     static final Day CROWD = new Day(SHORT, SHORT, Version.NOW, Flaw.NONE, 14);
+    static final Day TIGHT = new Day(SHORT, SHORT, Version.NOW, Flaw.NONE, 0, 2, true);
 
     Day(Times real, Times told, Version from, Flaw flaw, int crowd) {
-        this(real, told, from, flaw, crowd, 2);
+        this(real, told, from, flaw, crowd, 2, false);
     }
 
     /** A worker's lease, and how long a cancelled task may stay. */
@@ -61,14 +63,14 @@
 
     /** The same with nodes that begin as another version. */
     Day from(Version version) {
-        return new Day(real, told, version, flaw, crowd, zones);
+        return new Day(real, told, version, flaw, crowd, zones, tight);
     }
 
     Day with(Flaw broken) {
-        return new Day(real, told, from, broken, crowd, zones);
+        return new Day(real, told, from, broken, crowd, zones, tight);
     }
 
     Day inThreeZones() {
-        return new Day(real, told, from, flaw, crowd, 3);
+        return new Day(real, told, from, flaw, crowd, 3, tight);
     }
 }
--- /dev/null
+++ b/src/test/java/org/woadloom/sim/StateTroubles.java
@@ -0,0 +1,53 @@
+package org.woadloom.sim;
+
+import java.util.Random;
+
+/** What befalls requests to the state service: answers that get lost, and slowness. */
+final class StateTroubles {
+    private final World world;
+    private final Random random;
+    private int lostOfHundred;
+    private long loseUntil;
+    private long extraMicros;
+    private long slowUntil;
+
+    StateTroubles(World world, Random random) {
+        this.world = world;
+        this.random = random;
+    }
+
+    interface Request {
+        void made(StateStandIn.Answer respond);
+    }
+
+    void loseAnswers(int ofHundred, long until) {
+        lostOfHundred = ofHundred;
+        loseUntil = until;
+    }
+
+    void slow(long extra, long until) {
+        extraMicros = extra;
+        slowUntil = until;
+    }
+
+    /** A request that has come there, perhaps later, and whose answer may be lost, or late. */
+    void meet(String path, StateStandIn.Answer reply, Request request) {
+        long now = world.loop.now();
+        boolean lost = path.equals("/txn") && now < loseUntil && random.nextInt(100) < lostOfHundred;
+        StateStandIn.Answer answer = !lost ? reply : (status, body) -> {
+            if (status == 200) {
+                world.lostAnswersMade++;
+            } else {
+                reply.answer(status, body);
+            }
+        };
+        if (now >= slowUntil) {
+            request.made(answer);
+            return;
+        }
+        long extra = random.nextLong(extraMicros + 1);
+        long there = random.nextLong(extra + 1);
+        world.loop.after(there, () -> request.made((status, body) -> world.loop.after(extra - there,
+                () -> answer.answer(status, body))));
+    }
+}
--- a/src/test/java/org/woadloom/sim/Truth.java
+++ b/src/test/java/org/woadloom/sim/Truth.java
@@ -1,11 +1,13 @@
 package org.woadloom.sim;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.woadloom.settings.ServiceSettings;
 import org.woadloom.settings.Team;
 import org.woadloom.wire.JobDescription;
@@ -29,6 +31,13 @@
     private final Map<TaskId, WorkerStandIn> on = new LinkedHashMap<>();
     private final Set<TaskId> done = new HashSet<>();
     private final Set<String> ran = new HashSet<>();
+    /** Jobs that can't run, or lack a field: none of them may be accepted. */
+    final Set<String> unfit = new HashSet<>();
+    /** Hears of each job whose last task has just been completed. */
+    Consumer<String> lastTaskEnded = uid -> {
+    };
+    /** Starts of tasks after a user was told that their job is cancelled; a rule is broken if they stay for too long. */
+    int startsAfterCancellation;
     int starts;
     /** Running tasks that were killed because their worker's lease ended. */
     int killedByLease;
@@ -74,13 +83,10 @@
         if (job.apart() && sameYard > (job.shards() + 1) / 2) {
             throw new Violation("wrong_place", task + " makes " + sameYard + " in " + worker.yard);
         }
+        startsAfterCancellation += toldCancelled.containsKey(task.uid()) ? 1 : 0;
         on.put(task, worker);
         Team team = settings.team(job.crew());
-        double cpus = 0;
-        for (TaskId running : on.keySet()) {
-            JobDescription other2 = submitted.get(running.uid());
-            cpus += other2.crew().equals(job.crew()) ? other2.vcpus() : 0;
-        }
+        double cpus = used(job.crew());
         if (cpus > team.cpusMax() + 1e-6) {
             throw new Violation("quota", job.crew() + " uses " + cpus);
         }
@@ -89,8 +95,8 @@
 
     void ended(TaskId task, WorkerStandIn worker, boolean completed) {
         on.remove(task, worker);
-        if (completed) {
-            done.add(task);
+        if (completed && done.add(task) && allDone(task.uid())) {
+            lastTaskEnded.accept(task.uid());
         }
     }
 
@@ -101,6 +107,45 @@
         return jobs;
     }
 
+    /** The machines that have tasks of these jobs. */
+    Set<WorkerStandIn> machinesOf(Collection<String> jobs) {
+        Set<WorkerStandIn> machines = new LinkedHashSet<>();
+        on.forEach((task, worker) -> {
+            if (jobs.contains(task.uid())) {
+                machines.add(worker);
+            }
+        });
+        return machines;
+    }
+
+    /** How many teams have a task that waits and does not fit below their limit. */
+    int teamsAtLimit() {
+        return (int) settings.teams().stream().filter(this::atLimit).count();
+    }
+
+    private boolean atLimit(Team team) {
+        double room = team.cpusMax() - used(team.name());
+        for (String uid : accepted.keySet()) {
+            JobDescription job = submitted.get(uid);
+            for (int i = 0; job.crew().equals(team.name()) && !isOver(uid) && job.vcpus() > room && i < job.shards(); i++) {
+                TaskId task = new TaskId(uid, i);
+                if (!done.contains(task) && !on.containsKey(task)) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
+    private double used(String crew) {
+        double cpus = 0;
+        for (TaskId running : on.keySet()) {
+            JobDescription job = submitted.get(running.uid());
+            cpus += job.crew().equals(crew) ? job.vcpus() : 0;
+        }
+        return cpus;
+    }
+
     int tasksIn(String yard) {
         return (int) on.values().stream().filter(worker -> worker.yard.equals(yard)).count();
     }
@@ -138,6 +183,9 @@
 
     /** An answer to a request that was sent at the given time: it may be older than what was told after that. */
     void answered(String request, String uid, long sent, int status, Map<String, Object> body) {
+        if ((status == 200 || status == 201) && unfit.contains(uid)) {
+            throw new Violation("accepted_unfit", request + " " + uid + " " + status);
+        }
         boolean known = submitted.containsKey(uid);
         if (status == 200 && !known) {
             throw new Violation("invented", uid);
@@ -156,12 +204,13 @@
         if (status != 200 && status != 201) {
             return;
         }
-        if (request.equals("submit")) {
-            accepted.putIfAbsent(uid, loop.now());
-        }
+        // Whoever answers so has told that it is accepted, also if no answer to the submission ever came.
+        accepted.putIfAbsent(uid, loop.now());
         String said = (String) body.get("status");
         String before = toldFinal.get(uid);
-        if (before != null && toldFinalAt.get(uid) < sent && !before.equals(said)) {
+        boolean end = said.equals("done") || said.equals("cancelled");
+        // Only an answer that is not final may be older, and only to a request from before the end was told.
+        if (before != null && !before.equals(said) && (end || toldFinalAt.get(uid) < sent)) {
             throw new Violation("went_back", uid + " was " + before + " and is " + said);
         }
         if (said.equals("queued") || said.equals("running")) {
--- /dev/null
+++ b/src/test/java/org/woadloom/sim/UserTroubles.java
@@ -0,0 +1,192 @@
+package org.woadloom.sim;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.woadloom.wire.JobDescription;
+import org.woadloom.wire.WireException;
+
+/** What users do beyond what they do every day: they look closely, ask for what can't be, and call jobs off at bad moments. */
+final class UserTroubles {
+    private static final int LOOKS = 3;
+    private static final int MOST_HUNG = 8;
+    /** A job must have these; the others may be null, and so may be missing. */
+    static final List<String> REQUIRED = List.of("jobclass", "crew", "shape", "rank", "shards", "vcpus", "cards", "ramGb", "bundle",
+            "pullGb", "samePlace", "apart", "reclaimable", "runtimeS", "snapshotEveryS", "snapshotCostS");
+
+    private final World world;
+    private final Random random;
+    private final Set<String> lookedAt = new HashSet<>();
+    private long lookUntil;
+    private int odd;
+    private int endsOfHundred;
+    private long endsUntil;
+
+    UserTroubles(World world, Random random) {
+        this.world = world;
+        this.random = random;
+    }
+
+    void lookClosely(long until) {
+        lookUntil = until;
+    }
+
+    /** A user was told something of a job; what is new is looked at closely by all who care. */
+    void told(String uid, int status) {
+        if (world.loop.now() >= lookUntil || status != 200 && status != 201 || !lookedAt.add(uid + world.truth.isOver(uid))) {
+            return;
+        }
+        world.closeLooks++;
+        for (int node = 0; node < World.NODES; node++) {
+            int index = node;
+            for (int look = 0; look < LOOKS; look++) {
+                world.loop.after(1 + random.nextInt(30_000), () -> ask(index, uid));
+            }
+        }
+        world.loop.after(1 + random.nextInt(10_000), () -> repeat(uid, world.truth.submitted.get(uid).toMap()));
+        if (random.nextInt(5) == 0) {
+            world.loop.after(1 + random.nextInt(20_000), () -> world.cancel(uid));
+        }
+    }
+
+    private void ask(int node, String uid) {
+        long sent = world.loop.now();
+        world.toNode("users", node, "GET", "/v1/jobs/" + uid, null, 2_000_000,
+                (status, body) -> world.answered("poll", uid, sent, status, body));
+    }
+
+    private void repeat(String uid, Map<String, Object> job) {
+        long sent = world.loop.now();
+        world.toNode("users", random.nextInt(World.NODES), "POST", "/v1/jobs", job, 5_000_000,
+                (status, body) -> world.answered("submit", uid, sent, status, body));
+    }
+
+    void oddRequests(long until) {
+        world.loop.after(100_000 + random.nextInt(500_000), () -> {
+            if (world.loop.now() < until) {
+                oddRequest(odd++ % 5);
+                oddRequests(until);
+            }
+        });
+    }
+
+    private void oddRequest(int kind) {
+        List<String> such = new ArrayList<>(world.truth.acceptedJobs());
+        such.removeIf(uid -> world.truth.isOver(uid) != (kind == 2));
+        if (kind < 3 && such.isEmpty()) {
+            return;
+        }
+        world.oddRequestsMade++;
+        String uid = kind < 3 ? such.get(random.nextInt(such.size())) : world.newUid();
+        Map<String, Object> job = kind < 3 ? world.truth.submitted.get(uid).toMap() : plain(uid);
+        if (kind == 2) {
+            long sent = world.loop.now();
+            world.toNode("users", random.nextInt(World.NODES), "POST", "/v1/jobs/" + uid + "/cancel", Map.of(), 5_000_000,
+                    (status, body) -> world.answered("cancel", uid, sent, status, body));
+            return;
+        }
+        if (kind == 1 || kind == 4) {
+            job.remove(REQUIRED.get(random.nextInt(REQUIRED.size())));
+        }
+        if (kind == 3) {
+            unfit(job, random.nextInt(6));
+        }
+        if (kind >= 3) {
+            world.truth.unfit.add(uid);
+            world.loop.after(2_000_000, () -> ask(random.nextInt(World.NODES), uid));
+        }
+        repeat(uid, job);
+    }
+
+    private static void unfit(Map<String, Object> job, int how) {
+        switch (how) {
+            case 0 -> job.put("ramGb", 100_000.0);
+            case 1 -> job.put("cards", 1.0);
+            case 2 -> job.put("hosttypes", List.of("no-such-type"));
+            case 3 -> job.put("crew", "nobody");
+            case 4 -> job.put("yard", "no-such-zone");
+            default -> {
+                job.put("shape", "service");
+                job.put("shards", 1_000L);
+            }
+        }
+    }
+
+    int cancelNow(int count, long hangMicros) {
+        List<String> running = new ArrayList<>(world.truth.running());
+        Collections.shuffle(running, random);
+        List<String> chosen = running.subList(0, Math.min(count, running.size()));
+        if (hangMicros > 0) {
+            world.truth.machinesOf(chosen).stream().limit(MOST_HUNG)
+                    .forEach(worker -> worker.hungUntil = world.loop.now() + hangMicros);
+        }
+        chosen.forEach(uid -> world.loop.after(random.nextInt(200_000), () -> world.cancel(uid)));
+        return chosen.size();
+    }
+
+    void cancelAtEnd(int ofHundred, long until) {
+        endsOfHundred = ofHundred;
+        endsUntil = until;
+    }
+
+    /** At that very moment, or while its end is being written down. */
+    void lastTaskEnded(String uid) {
+        if (world.loop.now() < endsUntil && random.nextInt(100) < endsOfHundred) {
+            world.cancelledAtEnd++;
+            world.loop.after(random.nextBoolean() ? 1 : random.nextInt(800_000), () -> world.cancel(uid));
+        }
+    }
+
+    void oneTaskJobs(int perSecond, long until, int ofHundredCancelled) {
+        world.loop.after(1_000_000 / perSecond, () -> {
+            if (world.loop.now() < until) {
+                String uid = world.newUid();
+                Map<String, Object> job = plain(uid);
+                try {
+                    world.truth.submitting(JobDescription.parse(job));
+                } catch (WireException e) {
+                    throw new IllegalStateException(e);
+                }
+                world.oneTaskJobsMade++;
+                world.submit(uid, job, world.loop.now() + 60_000_000, accepted -> {
+                });
+                if (random.nextInt(100) < ofHundredCancelled) {
+                    world.oneTaskJobsCancelled++;
+                    world.loop.after(random.nextInt(6_000_000), () -> world.cancel(uid));
+                }
+                oneTaskJobs(perSecond, until, ofHundredCancelled);
+            }
+        });
+    }
+
+    /** A job with every field, of one small task. */
+    private Map<String, Object> plain(String uid) {
+        Map<String, Object> job = new LinkedHashMap<>();
+        job.put("uid", uid);
+        job.put("jobclass", "work");
+        job.put("crew", random.nextBoolean() ? "red" : "blue");
+        job.put("shape", "batch");
+        job.put("rank", random.nextBoolean() ? "high" : "standard");
+        job.put("shards", 1L);
+        job.put("vcpus", 1.0);
+        job.put("cards", 0.0);
+        job.put("ramGb", 2.0);
+        job.put("bundle", "img-" + random.nextInt(4));
+        job.put("pullGb", 1.0);
+        job.put("hosttypes", null);
+        job.put("yard", null);
+        job.put("samePlace", false);
+        job.put("apart", false);
+        job.put("reclaimable", true);
+        job.put("runtimeS", 1.0 + random.nextInt(4));
+        job.put("snapshotEveryS", 0.0);
+        job.put("snapshotCostS", 0.0);
+        job.put("dueS", null);
+        return job;
+    }
+}
--- a/src/test/java/org/woadloom/sim/WorkerStandIn.java
+++ b/src/test/java/org/woadloom/sim/WorkerStandIn.java
@@ -228,6 +228,9 @@
             return;
         }
         JobDescription job = world.truth.submitted.get(id.uid());
+        if (job == null) {
+            throw new Violation("accepted_unfit", id + " is started");
+        }
         Task task = new Task(id, attempt);
         if (present != null && !present.status.equals("exited")) {
             // The refused attempt can't be listed beside the other one in this stand-in; the leader must not get here.
--- a/src/test/java/org/woadloom/sim/World.java
+++ b/src/test/java/org/woadloom/sim/World.java
@@ -28,6 +28,11 @@
 
     final SimLoop loop = new SimLoop();
     final Random random;
+    /** Of the troubles that are off unless asked for: a day without them draws the same from {@link #random} as ever. */
+    private final Random more;
+    private final UserTroubles userTroubles;
+    private final StateTroubles stateTroubles;
+    private final KeptReports keptReports;
     final ServiceSettings settings;
     final Truth truth;
     private final StateStandIn state;
@@ -70,6 +75,18 @@
     final boolean[] namesOneMore = new boolean[NODES];
     /** Nodes that told the leader that they took care of workers. */
     final boolean[] tookCare = new boolean[NODES];
+    /** Answers after which users looked closely. */
+    int closeLooks;
+    int oddRequestsMade;
+    int cancelledAtEnd;
+    int oneTaskJobsMade;
+    int oneTaskJobsCancelled;
+    /** Transactions that were carried out and whose answer was lost. */
+    int lostAnswersMade;
+    /** Copies that came to a node after the term had changed. */
+    int keptCopies;
+    /** Machines that were up within two seconds. */
+    int quickBoots;
     private int jobs;
 
     /** One node and the life of its process. */
@@ -245,11 +262,16 @@
 
     World(long seed, Day day) {
         random = new Random(seed);
+        more = new Random(~seed);
         this.day = day;
         settings = settingsOf(0, day, day.real(), false);
         truth = new Truth(loop, settings);
+        userTroubles = new UserTroubles(this, more);
+        truth.lastTaskEnded = userTroubles::lastTaskEnded;
+        stateTroubles = new StateTroubles(this, more);
+        keptReports = new KeptReports(this, more);
         state = new StateStandIn(loop, settings.state());
-        cloud = new CloudStandIn(this);
+        cloud = new CloudStandIn(this, more);
         if (day.flaw() == Day.Flaw.AGREED_TOO_EARLY) {
             state.handle("POST", "/txn", Map.of("if", List.of(), "then", List.of(Map.of("put", "version/agreed", "value",
                     Map.of("version", 3L)))), (status, answer) -> {
@@ -291,9 +313,12 @@
         return Integer.parseInt(label.substring(5));
     }
 
-    private static List<Team> teams(int crowd) {
+    private static List<Team> teams(Day day) {
+        if (day.tight()) {
+            return List.of(new Team("red", 12, 20, 0, 0), new Team("blue", 8, 12, 0, 0));
+        }
         List<Team> teams = new ArrayList<>(List.of(new Team("red", 40, 60, 0, 0), new Team("blue", 24, 30, 0, 0)));
-        for (int i = 0; i < crowd; i++) {
+        for (int i = 0; i < day.crowd(); i++) {
             teams.add(new Team("crowd-" + i, 8, i == 0 ? 60 : 20, 0, 0));
         }
         return teams;
@@ -310,7 +335,7 @@
             peers.add(new Peer(label(NODES), "b", "node-" + NODES + ":1"));
         }
         return new ServiceSettings(label(index), day.yardOf(index), "0:1", "0:2", peers, "cloud", "state", day.zoneNames(),
-                teams(day.crowd()), List.of(),
+                teams(day), List.of(),
                 new ServiceSettings.Workers(1_500_000, times.leaseMicros(), times.cancelMicros()),
                 new ServiceSettings.State(400, 200, 8192, 12,
                         new ServiceSettings.State(400, 60, 1500, 4, null)), new ServiceSettings.Cloud(8, 3_000_000),
@@ -327,39 +352,49 @@
             if (member.lives(mine)) {
                 callback.answered(status, status > 0 ? Cbor.encode(answer) : new byte[0]);
             }
-        }, respond -> {
+        }, reply -> {
             Map<String, Object> map = decode(body);
-            if (yardOf(member.index).equals(island)) {
-                // Held back, and executed when the zone is back.
-                loop.after(1_000_000, () -> fromNodeHeld(member, mine, address, method, path, map, respond));
-            } else if (address.equals("state") && member.index == isolated) {
-                // What was sent is executed when the way is open again.
-                loop.after(1_000_000, () -> fromNodeHeld(member, mine, address, method, path, map, respond));
-            } else if (address.equals("state") && member.index == refusedByState) {
-                respond.answer(503, Map.of("error", "trouble"));
-            } else if (address.equals("state") && member.version != Version.NOW) {
-                toStateAsOld(member, mine, method, path, map, respond);
-            } else if (address.equals("state")) {
-                if (day.flaw() == Day.Flaw.ONE_JOB_REFUSED && map.isEmpty() && path.startsWith("/keys/job/j-") && path.endsWith("7")) {
-                    respond.answer(503, Map.of("error", "trouble"));
-                    return;
-                }
-                if (path.equals("/txn") && random.nextInt(100) < lateWrites) {
-                    loop.after(2_000_000 + random.nextInt(10_000_000), () -> carriedOutLate(member, map));
-                    return;
-                }
-                StateStandIn.Answer watch = path.startsWith("/follow") ? (status, answer) -> unlessRefused(member, status, answer, respond)
-                        : respond;
-                state.handle(method, path, map, day.flaw() == Day.Flaw.FORGETS_AWAITS ? (status, answer) -> watch.answer(status,
-                        ProductionFilter.withoutAwaits(answer)) : watch);
-            } else if (address.equals("cloud")) {
-                loop.after(150_000, () -> cloud.handle(method, path, map, respond));
+            if (address.equals("state")) {
+                stateTroubles.meet(path, reply, respond -> arrived(member, mine, address, method, path, map, respond));
             } else {
-                toWorker(member, address, map, respond);
+                arrived(member, mine, address, method, path, map, reply);
             }
         });
     }
 
+    /** What a node sent has come to where it is to be answered. */
+    private void arrived(Member member, int mine, String address, String method, String path, Map<String, Object> map,
+            StateStandIn.Answer respond) {
+        if (yardOf(member.index).equals(island)) {
+            // Held back, and executed when the zone is back.
+            loop.after(1_000_000, () -> fromNodeHeld(member, mine, address, method, path, map, respond));
+        } else if (address.equals("state") && member.index == isolated) {
+            // What was sent is executed when the way is open again.
+            loop.after(1_000_000, () -> fromNodeHeld(member, mine, address, method, path, map, respond));
+        } else if (address.equals("state") && member.index == refusedByState) {
+            respond.answer(503, Map.of("error", "trouble"));
+        } else if (address.equals("state") && member.version != Version.NOW) {
+            toStateAsOld(member, mine, method, path, map, respond);
+        } else if (address.equals("state")) {
+            if (day.flaw() == Day.Flaw.ONE_JOB_REFUSED && map.isEmpty() && path.startsWith("/keys/job/j-") && path.endsWith("7")) {
+                respond.answer(503, Map.of("error", "trouble"));
+                return;
+            }
+            if (path.equals("/txn") && random.nextInt(100) < lateWrites) {
+                loop.after(2_000_000 + random.nextInt(10_000_000), () -> carriedOutLate(member, map));
+                return;
+            }
+            StateStandIn.Answer watch = path.startsWith("/follow") ? (status, answer) -> unlessRefused(member, status, answer, respond)
+                    : respond;
+            state.handle(method, path, map, day.flaw() == Day.Flaw.FORGETS_AWAITS ? (status, answer) -> watch.answer(status,
+                    ProductionFilter.withoutAwaits(answer)) : watch);
+        } else if (address.equals("cloud")) {
+            loop.after(150_000, () -> cloud.handle(method, path, map, respond));
+        } else {
+            toWorker(member, address, map, respond);
+        }
+    }
+
     private void carriedOutLate(Member member, Map<String, Object> txn) {
         if (state.down || member.index == refusedByState) {
             loop.after(500_000, () -> carriedOutLate(member, txn));
@@ -475,6 +510,9 @@
         if (worker != null && random.nextInt(100) < copies) {
             copy(body);
         }
+        if (worker != null) {
+            keptReports.sent(body);
+        }
         carry(timeout, callback, respond -> {
             if (member.lives(life)) {
                 member.node.router().handle(method, path, bytes, response -> {
@@ -492,19 +530,28 @@
 
     /** The same report arrives again, when its worker may be gone, and whoever answers it answers nobody. */
     private void copy(Map<String, Object> report) {
+        byte[] bytes = copyOf(report);
+        loop.after(500_000 + random.nextInt(random.nextBoolean() ? 5_000_000 : 60_000_000),
+                () -> oldCopies += arrivesAgain(random.nextInt(NODES), bytes) ? 1 : 0);
+    }
+
+    byte[] copyOf(Map<String, Object> report) {
         Map<String, Object> again = new LinkedHashMap<>(report);
         if (day.flaw() == Day.Flaw.COPIES_LOOK_NEW) {
             again.put("tick", (Long) report.get("tick") + 1_000);
         }
-        byte[] bytes = Cbor.encode(again);
-        loop.after(500_000 + random.nextInt(random.nextBoolean() ? 5_000_000 : 60_000_000), () -> {
-            Member member = members[random.nextInt(NODES)];
-            if (member.alive && !yardOf(member.index).equals(island)) {
-                oldCopies++;
-                member.node.router().handle("POST", "/v1/report", bytes, response -> {
-                });
-            }
+        return Cbor.encode(again);
+    }
+
+    /** False if it comes to a node that is not there, or out of reach. */
+    boolean arrivesAgain(int index, byte[] report) {
+        Member member = members[index];
+        if (!member.alive || yardOf(index).equals(island)) {
+            return false;
+        }
+        member.node.router().handle("POST", "/v1/report", report, response -> {
         });
+        return true;
     }
 
     private interface Delivery {
@@ -556,7 +603,7 @@
         });
     }
 
-    private String newUid() {
+    String newUid() {
         return String.format("j-%06d", jobs++);
     }
 
@@ -588,6 +635,8 @@
         map.put("apart", service && map.get("yard") == null && !(Boolean) map.get("samePlace"));
         map.put("reclaimable", !service);
         map.put("runtimeS", service ? 0.0 : 2.0 + random.nextInt(15));
+        map.put("snapshotEveryS", 0.0);
+        map.put("snapshotCostS", 0.0);
         if (!awaits.isEmpty()) {
             map.put("awaits", awaits);
         }
@@ -610,14 +659,14 @@
         return random.nextBoolean() ? "crowd-0" : settings.teams().get(random.nextInt(settings.teams().size())).name();
     }
 
-    private interface Runnable1 {
+    interface Runnable1 {
         void accepted(String uid);
     }
 
-    private void submit(String uid, Map<String, Object> job, long until, Runnable1 accepted) {
+    void submit(String uid, Map<String, Object> job, long until, Runnable1 accepted) {
         long sent = loop.now();
         toNode("users", random.nextInt(NODES), "POST", "/v1/jobs", job, 5_000_000, (status, body) -> {
-            truth.answered("submit", uid, sent, status, body);
+            answered("submit", uid, sent, status, body);
             if (status == 200 || status == 201) {
                 poll(uid);
                 accepted.accepted(uid);
@@ -702,11 +751,17 @@
     private void poll(String uid) {
         long sent = loop.now();
         toNode("users", random.nextInt(NODES), "GET", "/v1/jobs/" + uid, null, 2_000_000, (status, body) -> {
-            truth.answered("poll", uid, sent, status, body);
+            answered("poll", uid, sent, status, body);
             loop.after(truth.isOver(uid) && status == 200 ? 40_000_000 : 3_000_000, () -> poll(uid));
         });
     }
 
+    /** What a user was told. */
+    void answered(String request, String uid, long sent, int status, Map<String, Object> body) {
+        truth.answered(request, uid, sent, status, body);
+        userTroubles.told(uid, status);
+    }
+
     void cancel(String uid) {
         cancel(uid, loop.now() + 70_000_000);
     }
@@ -717,7 +772,7 @@
         long sent = loop.now();
         toNode("users", random.nextInt(NODES), "POST", "/v1/jobs/" + uid + "/cancel", Map.of(), 5_000_000,
                 (status, body) -> {
-                    truth.answered("cancel", uid, sent, status, body);
+                    answered("cancel", uid, sent, status, body);
                     if (status != 200 && (status != 404 || loop.now() < unknownUntil)) {
                         loop.after(1_000_000, () -> cancel(uid, unknownUntil));
                     }
@@ -861,6 +916,67 @@
         return answered[0];
     }
 
+    // Troubles that are off unless asked for.
+
+    /** Right after each answer that a job was accepted, ended or cancelled, users ask all nodes about it several times. */
+    void lookClosely(long forMicros) {
+        userTroubles.lookClosely(loop.now() + forMicros);
+    }
+
+    /** Users repeat what is known, and ask for what can't be. */
+    void oddRequests(long forMicros) {
+        userTroubles.oddRequests(loop.now() + forMicros);
+    }
+
+    /** So many running jobs are called off within 0.2 s, and up to eight of their machines hang; returns how many. */
+    int cancelNow(int count, long hangMicros) {
+        return userTroubles.cancelNow(count, hangMicros);
+    }
+
+    /** So many of a hundred jobs are called off as their last task ends. */
+    void cancelAtEnd(int ofHundred, long forMicros) {
+        userTroubles.cancelAtEnd(ofHundred, loop.now() + forMicros);
+    }
+
+    void oneTaskJobs(int perSecond, long forMicros, int ofHundredCancelled) {
+        userTroubles.oneTaskJobs(perSecond, loop.now() + forMicros, ofHundredCancelled);
+    }
+
+    /** So many of a hundred transactions are carried out at once and get no answer. */
+    void loseAnswers(int ofHundred, long forMicros) {
+        stateTroubles.loseAnswers(ofHundred, loop.now() + forMicros);
+    }
+
+    /** Every request to the state service takes up to so much longer. */
+    void slowState(long extraMicros, long forMicros) {
+        stateTroubles.slow(extraMicros, loop.now() + forMicros);
+    }
+
+    /** Of so many of a hundred reports a copy comes to every node once the term has changed. */
+    void keepForNextLeader(int ofHundred, long forMicros) {
+        keptReports.keep(ofHundred, loop.now() + forMicros);
+    }
+
+    /** Nothing that one in so many of a zone's machines say arrives for a while; commands reach them. */
+    void mute(String zone, int oneIn, long forMicros) {
+        int count = 0;
+        for (WorkerStandIn worker : cloud.machines.values()) {
+            if (worker.yard.equals(zone) && count++ % oneIn == 0) {
+                worker.muteUntil = loop.now() + forMicros;
+            }
+        }
+    }
+
+    /** Machines are up 0.3 to 2 s after they were asked for, also before that is answered. */
+    void quickMachines(long forMicros) {
+        cloud.quickUntil = loop.now() + forMicros;
+    }
+
+    /** How many terms were taken. */
+    int leaderChanges() {
+        return state.value("term") == null ? 0 : (int) term();
+    }
+
     /** Writes a key of the state service, as an operator or another program might. */
     void put(String path, Map<String, Object> value) {
         if (state.down) {
