The fleet's load sends every field that a submission must have

Cause: the jobs of FleetLoad left out samePlace, snapshotEveryS and snapshotCostS, which the protocol does not allow to be missing. Change: they are sent. Result: compiled; FleetLoad itself was not run.

--- a/src/test/java/org/woadloom/sim/FleetLoad.java
+++ b/src/test/java/org/woadloom/sim/FleetLoad.java
@@ -281,9 +281,12 @@
         job.put("ramGb", 1.0);
         job.put("bundle", "img-" + random.nextInt(8));
         job.put("pullGb", 0.5);
+        job.put("samePlace", false);
         job.put("apart", shape.equals("service"));
         job.put("reclaimable", !shape.equals("service"));
         job.put("runtimeS", runtimeS);
+        job.put("snapshotEveryS", 0.0);
+        job.put("snapshotCostS", 0.0);
         submit(uid, Cbor.encode(job));
     }
 
