A submission that lacks a field is refused

Cause: JobDescription.parse serves stored records, which leave out the usual values, and submissions as well: it gave cards, pullGb, samePlace, apart, reclaimable, runtimeS, snapshotEveryS and snapshotCostS a value where a user left them out or sent null, and the job was accepted with 201 where the protocol says 400. Change: JobDescription.submitted asks for them, parse goes on reading what is stored; hosttypes, yard, dueS and awaits may be missing. A known job is told its state whatever its repeat lacks. Result: each field left out, null and of a wrong type in turn: 400; BadInputTest failed before on both nodes (cards = null: 201) and passes; the known job's test passed before as well.

--- a/src/main/java/org/woadloom/http/JobApi.java
+++ b/src/main/java/org/woadloom/http/JobApi.java
@@ -116,7 +116,7 @@
         JobDescription job;
         Response refusal;
         try {
-            job = JobDescription.parse(map);
+            job = JobDescription.submitted(map);
             refusal = refusal(job);
         } catch (WireException e) {
             job = null;
--- a/src/main/java/org/woadloom/wire/JobDescription.java
+++ b/src/main/java/org/woadloom/wire/JobDescription.java
@@ -17,6 +17,9 @@
 
     public static final int MAX_SHARDS = 100_000;
     private static final int MAX_NAME = 120;
+    /** What users must give, and stored records leave out where it has the usual value. */
+    private static final List<String> LEFT_OUT_IN_RECORDS = List.of("cards", "pullGb", "samePlace", "apart", "reclaimable",
+            "runtimeS", "snapshotEveryS", "snapshotCostS");
 
     /** True for text that has the form of a job id and can be part of a key and of a path. */
     public static boolean isUid(String text) {
@@ -32,6 +35,17 @@
         return true;
     }
 
+    /** As its user submits it: only what may be null may be missing. */
+    public static JobDescription submitted(Map<String, Object> map) throws WireException {
+        for (String field : LEFT_OUT_IN_RECORDS) {
+            if (map.get(field) == null) {
+                throw new WireException(field + ": is missing");
+            }
+        }
+        return parse(map);
+    }
+
+    /** As a record holds it, of this version or an earlier one. */
     public static JobDescription parse(Map<String, Object> map) throws WireException {
         Fields f = new Fields(map);
         String uid = f.text("uid");
--- a/src/test/java/org/woadloom/sim/BadInputTest.java
+++ b/src/test/java/org/woadloom/sim/BadInputTest.java
@@ -31,6 +31,10 @@
     private static final Object[] NO_COUNT = {null, "1", 1.5, -1L, Double.NaN, List.of(), true};
     private static final Object[] NO_FLAG = {"true", 1L, 0.0, List.of()};
 
+    /** Fields that a submission must have, and that are not null; hosttypes, yard, dueS and awaits may be missing. */
+    private static final List<String> NEEDED = List.of("uid", "jobclass", "crew", "shape", "rank", "shards", "vcpus", "cards",
+            "ramGb", "bundle", "pullGb", "samePlace", "apart", "reclaimable", "runtimeS", "snapshotEveryS", "snapshotCostS");
+
     private final LoopbackNode node = new LoopbackNode();
     private final AtomicBoolean pressing = new AtomicBoolean(true);
     private final AtomicInteger pressed = new AtomicInteger();
@@ -87,6 +91,12 @@
         return LoopbackNode.job("j-000412", "team");
     }
 
+    private static Map<String, Object> without(String field) {
+        Map<String, Object> map = job();
+        map.remove(field);
+        return map;
+    }
+
     private static Map<String, Object> task() {
         return new LinkedHashMap<>(Map.of("shard", "j-000412/3", "try", 2L, "status", "exited", "cause", "done"));
     }
@@ -181,8 +191,10 @@
         for (String field : List.of("vcpus", "ramGb", "cards", "pullGb", "runtimeS", "snapshotEveryS", "snapshotCostS", "dueS")) {
             fields(cases, jobs, job(), 400, field, NO_AMOUNT);
         }
-        fields(cases, jobs, job(), 400, "vcpus", (Object) null);
-        fields(cases, jobs, job(), 400, "ramGb", (Object) null);
+        for (String field : NEEDED) {
+            fields(cases, jobs, job(), 400, field, (Object) null);
+            cases.add(new Case("no " + field, jobs, Cbor.encode(without(field)), 400));
+        }
         for (String field : List.of("samePlace", "apart", "reclaimable")) {
             fields(cases, jobs, job(), 400, field, NO_FLAG);
         }
@@ -282,6 +294,30 @@
         assertFalse(node.state.holdsAny("machine/host-"), "a machine was stored");
     }
 
+    /** What was accepted stays accepted, whatever its repeat lacks or asks for; what may be null may be missing. */
+    @Test
+    void aKnownJobIsNeverRefused() throws Exception {
+        node.start();
+        Connection connection = new Connection(node.address);
+        int accepted = 503;
+        for (int i = 0; i < 5_000 && accepted == 503; i++) {
+            accepted = connection.ask("POST", "/v1/jobs", Cbor.encode(job()));
+        }
+        assertEquals(201, accepted);
+        List<Case> repeats = new ArrayList<>();
+        for (String field : NEEDED.subList(1, NEEDED.size())) {
+            fields(repeats, "/v1/jobs", job(), 200, field, null, Map.of());
+            repeats.add(new Case("no " + field, "/v1/jobs", Cbor.encode(without(field)), 200));
+        }
+        fields(repeats, "/v1/jobs", job(), 200, "hosttypes", null, 1L, List.of(), List.of("none"));
+        fields(repeats, "/v1/jobs", job(), 200, "yard", null, 1L, "b", "nowhere");
+        fields(repeats, "/v1/jobs", job(), 200, "dueS", null, -1.0);
+        fields(repeats, "/v1/jobs", job(), 200, "vcpus", 2.0);
+        for (Case repeat : repeats) {
+            assertEquals(repeat.status, connection.ask("POST", repeat.path, repeat.body), repeat.what);
+        }
+    }
+
     @Test
     void aLeaderRefusesWhatIsMalformed() throws Exception {
         node.start();
--- a/src/test/java/org/woadloom/sim/LoopbackNode.java
+++ b/src/test/java/org/woadloom/sim/LoopbackNode.java
@@ -80,7 +80,7 @@
         exchange.getResponseSender().send(ByteBuffer.wrap(Cbor.encode(map)));
     }
 
-    /** A job of three small tasks that the node takes. */
+    /** A job of three small tasks that the node takes, with every field that has to be there. */
     static Map<String, Object> job(String uid, String crew) {
         Map<String, Object> map = new LinkedHashMap<>();
         map.put("uid", uid);
@@ -90,8 +90,16 @@
         map.put("rank", "high");
         map.put("shards", 3L);
         map.put("vcpus", 1.0);
+        map.put("cards", 0.0);
         map.put("ramGb", 1.0);
         map.put("bundle", "img");
+        map.put("pullGb", 1.0);
+        map.put("samePlace", false);
+        map.put("apart", false);
+        map.put("reclaimable", true);
+        map.put("runtimeS", 10.0);
+        map.put("snapshotEveryS", 0.0);
+        map.put("snapshotCostS", 0.0);
         return map;
     }
 }
