A poll whose job's end is read for another request meanwhile gets its answer

Cause: SharedReads.answer put a question among those waiting for a reading only after it had begun it; where the final state had been read since for another request, the reading ended at once and the question was never answered, as when somebody repeats a submission while others poll. A round that waited to begin also read the changes since -1 if another one had found meanwhile that changes were missed, which the service calls malformed. Change: a final state that is known is told, a question joins before the reading begins, and such a round begins anew.

--- a/src/main/java/org/woadloom/reads/SharedReads.java
+++ b/src/main/java/org/woadloom/reads/SharedReads.java
@@ -170,6 +170,11 @@
     }
 
     private void readChanges(long upTo, long now) {
+        if (since < 0) {
+            // Another round found out that changes were missed while this one waited to begin.
+            beginAnew(upTo, now);
+            return;
+        }
         long ofEra = era;
         state.changes(Urgency.USER, Keys.JOBS, since, (result, events, generation) -> {
             underWay--;
@@ -245,19 +250,23 @@
     }
 
     private void answer(Question question) {
-        Shown shown = remembered(question.uid);
+        // Its final state may have been read for another request since the question came.
+        Looked known = reader.known(question.uid);
+        Shown shown = known != null ? Shown.of(known) : remembered(question.uid);
         if (shown != null) {
             question.answer.accept(shown);
             return;
         }
         Reading read = reading.get(question.uid);
-        if (read == null) {
-            read = new Reading();
-            reading.put(question.uid, read);
-            read(question.uid, read);
+        if (read != null) {
+            // One that is under way is as good: the rounds tell what has changed since it began.
+            read.waiting.add(question.answer);
+            return;
         }
-        // One that is under way is as good: the rounds tell what has changed since it began.
+        read = new Reading();
+        reading.put(question.uid, read);
         read.waiting.add(question.answer);
+        read(question.uid, read);
     }
 
     private Shown remembered(String uid) {
--- a/src/test/java/org/woadloom/sim/SharedReadsTest.java
+++ b/src/test/java/org/woadloom/sim/SharedReadsTest.java
@@ -1,17 +1,21 @@
 package org.woadloom.sim;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.BitSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.woadloom.net.HttpTransport;
 import org.woadloom.reads.JobReader;
 import org.woadloom.reads.SharedReads;
@@ -33,16 +37,21 @@
     private final StateStandIn store = new StateStandIn(sim, new ServiceSettings.State(10_000, 10_000, 8192, 12, null));
     private final Random random = new Random(7);
     private final List<SharedReads> nodes = new ArrayList<>();
+    private final List<JobReader> readers = new ArrayList<>();
     private int requests;
     private int answered;
     /** How many of a hundred requests take long, or lose their answer. */
     private int trouble;
+    /** How many of a hundred reads of changes are told that those are not kept any more, and how many were. */
+    private int gone;
+    private int toldGone;
 
     SharedReadsTest() {
         for (int i = 0; i < NODES; i++) {
             StateClient client = StateStandIn.client(sim.loop(), this::request, LIMITS, i);
-            nodes.add(new SharedReads(sim.loop(), client, new JobReader(client, format -> {
-            }), LIMITS, NODES));
+            readers.add(new JobReader(client, format -> {
+            }));
+            nodes.add(new SharedReads(sim.loop(), client, readers.get(i), LIMITS, NODES));
         }
     }
 
@@ -50,6 +59,12 @@
         requests++;
         boolean[] answered = {false};
         sim.after(timeout, () -> answer(answered, callback, HttpTransport.NO_RESPONSE, Map.of()));
+        if (path.startsWith("/follow") && random.nextInt(100) < gone) {
+            toldGone++;
+            sim.after(2_000 + random.nextInt(300_000), () -> answer(answered, callback, 410, Map.of()));
+            return;
+        }
+        assertFalse(path.contains("since=-"), "the service would call it malformed: " + path);
         boolean lost = random.nextInt(100) < trouble;
         long there = random.nextInt(100) < trouble ? random.nextInt(1_500_000) : 2_000 + random.nextInt(3_000);
         sim.after(there, () -> {
@@ -78,9 +93,15 @@
     }
 
     private void put(String uid, boolean cancelled) {
+        put(uid, cancelled, 0);
+    }
+
+    /** @param running counts the changes, so that an answer tells how old it is */
+    private void put(String uid, boolean cancelled, int running) {
         try {
-            JobRecord record = JobRecord.accepted(JobDescription.parse(LoopbackNode.job(uid, "team")), 0);
-            write(Map.of("put", "job/" + uid, "value", (cancelled ? record.asCancelled() : record).toMap(RecordFormat.COMPACT)));
+            JobRecord record = new JobRecord(JobDescription.parse(LoopbackNode.job(uid, "team")), 0, 0, cancelled, new BitSet(),
+                    List.of(), running, 0, 0);
+            write(Map.of("put", "job/" + uid, "value", record.toMap(RecordFormat.COMPACT)));
         } catch (WireException e) {
             throw new IllegalStateException(e);
         }
@@ -132,55 +153,80 @@
         });
     }
 
-    /** Whatever any node has told, no node tells anything older to whoever asks after that. */
+    /**
+     * Whatever any node has told, no node tells anything older to whoever asks after that, and each question has one answer:
+     * polls, and what reads a job by itself, as repeated submissions and cancellations do.
+     */
     @ParameterizedTest
-    @ValueSource(ints = {0, 10, 40})
-    void nothingOlderIsTold(int troubles) {
+    @CsvSource({"0, 0", "10, 0", "40, 0", "0, 25", "25, 25"})
+    void nothingOlderIsTold(int troubles, int lostChanges) {
         trouble = troubles;
+        gone = lostChanges;
         int jobs = 30;
         Map<String, Integer> told = new LinkedHashMap<>();
-        int[] answers = new int[3];
-        for (int i = 0; i < 4_000; i++) {
+        int[] answers = new int[4];
+        List<int[]> asked = new ArrayList<>();
+        for (int i = 0; i < 5_000; i++) {
             String uid = uid(random.nextInt(jobs));
+            int node = random.nextInt(NODES);
+            boolean alone = random.nextInt(4) == 0;
             sim.after(random.nextInt(120_000_000), () -> step(uid));
             sim.after(random.nextInt(120_000_000), () -> {
                 int before = told.getOrDefault(uid, 0);
-                nodes.get(random.nextInt(NODES)).ask(uid, shown -> {
-                    if (shown != null) {
-                        int now = stage(shown.status());
-                        assertTrue(now >= before, uid + " was " + before + " and is " + now);
-                        told.merge(uid, now, Math::max);
-                        answers[Math.min(2, now)]++;
-                    }
-                });
+                int[] answered = {0};
+                asked.add(answered);
+                Consumer<JobStatus> check = status -> {
+                    int now = stage(status);
+                    assertTrue(now >= before, uid + " was " + before + " and is " + now);
+                    told.merge(uid, now, Math::max);
+                    answers[Math.min(3, (now + 999) / 1_000)]++;
+                };
+                if (alone) {
+                    readers.get(node).look(uid, looked -> {
+                        answered[0]++;
+                        if (looked != null) {
+                            check.accept(looked.status());
+                        }
+                    });
+                } else {
+                    nodes.get(node).ask(uid, shown -> {
+                        answered[0]++;
+                        if (shown != null) {
+                            check.accept(shown.status());
+                        }
+                    });
+                }
             });
         }
         sim.after(60_000_000, () -> store.outage(true));
         sim.after(66_000_000, () -> store.outage(false));
-        run(130_000_000);
-        assertTrue(answers[1] > 20 && answers[2] > 20, answers[0] + ", " + answers[1] + ", " + answers[2] + " answers");
+        run(150_000_000);
+        assertTrue(answers[1] > 20 && answers[2] > 20 && answers[3] > 20, Arrays.toString(answers));
+        assertEquals(0, asked.stream().filter(times -> times[0] != 1).count(), "questions that have not one answer");
+        assertTrue(lostChanges == 0 || toldGone > 20, toldGone + " times changes were missed");
     }
 
-    /** Jobs come, are cancelled and end, one step at a time. */
+    /** Jobs come, change, are cancelled and end, one step at a time. */
     private void step(String uid) {
-        if (store.down || store.value("final/" + uid) != null || random.nextInt(20) > 0) {
+        if (store.down || store.value("final/" + uid) != null || random.nextInt(12) > 0) {
             return;
         }
         Map<String, Object> record = store.value("job/" + uid);
+        int luck = random.nextInt(12);
         if (record == null) {
             put(uid, false);
-        } else if (!Boolean.TRUE.equals(record.get("cancelled"))) {
-            put(uid, true);
-        } else {
+        } else if (luck == 0 || Boolean.TRUE.equals(record.get("cancelled"))) {
             finish(uid);
+        } else {
+            put(uid, luck == 1, ((Long) record.get("running")).intValue() + 1);
         }
     }
 
     private static int stage(JobStatus status) {
         return status == null ? 0 : switch (status.status()) {
-            case "queued" -> 1;
-            case "cancelled" -> 2;
-            default -> 3;
+            case "queued", "running" -> 1 + status.running();
+            case "cancelled" -> 1_001;
+            default -> 2_001;
         };
     }
 
