--- a/src/main/java/org/woadloom/http/JobApi.java
+++ b/src/main/java/org/woadloom/http/JobApi.java
@@ -141,7 +141,7 @@
             answer.accept(refusal);
             return;
         }
-        reader.look(text, looked -> {
+        reader.look(Urgency.USER, text, looked -> {
             if (looked == null) {
                 answer.accept(Response.unavailable("the state service does not answer"));
             } else if (looked.status() != null) {
@@ -209,6 +209,11 @@
     }
 
     private void create(JobDescription job, Consumer<Response> answer) {
+        if (reader.acceptedService(job.uid()) != null) {
+            // A transaction that can only fail would count as a change all the same, and those are scarce.
+            refuseUnlessKnown(job.uid(), Response.unavailable("the job changed meanwhile"), answer);
+            return;
+        }
         JobRecord record = JobRecord.accepted(job, loop.wallMicros());
         RecordFormat format = storage.format();
         Map<String, Object> value = record.toMap(format);
@@ -364,7 +369,7 @@
     }
 
     private void cancel(String uid, int tries, Consumer<Response> answer) {
-        reader.look(uid, looked -> cancel(uid, looked, tries, answer));
+        reader.look(Urgency.USER, uid, looked -> cancel(uid, looked, tries, answer));
     }
 
     private void cancel(String uid, Looked looked, int tries, Consumer<Response> answer) {
