--- a/src/test/java/org/woadloom/sim/CloudStandIn.java
+++ b/src/test/java/org/woadloom/sim/CloudStandIn.java
@@ -8,7 +8,7 @@
 
 /** The cloud, written from the protocol; its list lags. */
 final class CloudStandIn {
-    private static final int CAPACITY = 14;
+    static final int CAPACITY = 14;
 
     private final World world;
     private final Random more;
@@ -17,6 +17,7 @@
     private final Map<String, List<Object>> claims = new LinkedHashMap<>();
     private List<Object> shown = new ArrayList<>();
     private int names;
+    int capacity = CAPACITY;
     boolean down;
     /** Until then machines are up within two seconds, some of them before their rental is answered. */
     long quickUntil;
@@ -100,7 +101,7 @@
         }
         List<Object> hosts = new ArrayList<>();
         boolean quick = world.loop.now() < quickUntil;
-        for (long i = 0; i < (Long) body.get("count") && machines.size() + booting.size() < CAPACITY; i++) {
+        for (long i = 0; i < (Long) body.get("count") && machines.size() + booting.size() < capacity; i++) {
             String host = String.format("host-%06d", names++);
             hosts.add(host);
             booting.put(host, new String[] {(String) body.get("hosttype"), (String) body.get("yard"),
--- a/src/test/java/org/woadloom/sim/Day.java
+++ b/src/test/java/org/woadloom/sim/Day.java
@@ -46,7 +46,13 @@
         /** Nodes vouch for cancellations without naming any. */
         VOUCHES_FOR_ANYTHING,
         /** No node ever gets an answer for one job. */
-        ONE_JOB_REFUSED
+        ONE_JOB_REFUSED,
+        /** Nodes find no record of a job now and then, as if it had not been accepted yet. */
+        UNSEEN_RECORDS,
+        /** Nodes that read what has changed are told now and then what was so when they read it last. */
+        OLD_CHANGES,
+        /** Nodes change what is stored whatever is there. */
+        NO_CONDITIONS
     }
 
     List<String> zoneNames() {
--- a/src/test/java/org/woadloom/sim/StateTroubles.java
+++ b/src/test/java/org/woadloom/sim/StateTroubles.java
@@ -4,12 +4,17 @@
 
 /** What befalls requests to the state service: answers that get lost, and slowness. */
 final class StateTroubles {
+    /** For so long nodes wait for an answer. */
+    private static final long PATIENCE_MICROS = 2_000_000;
+
     private final World world;
     private final Random random;
     private int lostOfHundred;
     private long loseUntil;
     private long extraMicros;
     private long slowUntil;
+    private int lostBy = -1;
+    private long lostAt;
 
     StateTroubles(World world, Random random) {
         this.world = world;
@@ -31,12 +36,19 @@
     }
 
     /** A request that has come there, perhaps later, and whose answer may be lost, or late. */
-    void meet(String path, StateStandIn.Answer reply, Request request) {
+    void meet(int node, String path, StateStandIn.Answer reply, Request request) {
         long now = world.loop.now();
+        boolean reads = path.startsWith("/keys/job/") || path.startsWith("/follow?prefix=job/");
+        if (reads && lostBy >= 0 && node != lostBy && now - lostAt < PATIENCE_MICROS) {
+            world.lostAnswersReadElsewhere++;
+            lostBy = -1;
+        }
         boolean lost = path.equals("/txn") && now < loseUntil && random.nextInt(100) < lostOfHundred;
         StateStandIn.Answer answer = !lost ? reply : (status, body) -> {
             if (status == 200) {
                 world.lostAnswersMade++;
+                lostBy = node;
+                lostAt = world.loop.now();
             } else {
                 reply.answer(status, body);
             }
--- a/src/test/java/org/woadloom/sim/Truth.java
+++ b/src/test/java/org/woadloom/sim/Truth.java
@@ -11,6 +11,7 @@
 import org.woadloom.settings.ServiceSettings;
 import org.woadloom.settings.Team;
 import org.woadloom.wire.JobDescription;
+import org.woadloom.wire.Rank;
 import org.woadloom.wire.TaskId;
 
 /** What really happens in the simulated world, and the rules, checked at each step. */
@@ -118,6 +119,22 @@
         return machines;
     }
 
+    /** Jobs of this importance or more, or of less, that have tasks which are neither done nor on a machine. */
+    int waiting(Rank rank, boolean less) {
+        return (int) accepted.keySet().stream().filter(uid -> !isOver(uid) && submitted.get(uid).rank().compareTo(rank) < 0 == less
+                && hasWaiting(submitted.get(uid))).count();
+    }
+
+    private boolean hasWaiting(JobDescription job) {
+        for (int i = 0; i < job.shards(); i++) {
+            TaskId task = new TaskId(job.uid(), i);
+            if (!done.contains(task) && !on.containsKey(task)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** How many teams have a task that waits and does not fit below their limit. */
     int teamsAtLimit() {
         return (int) settings.teams().stream().filter(this::atLimit).count();
@@ -127,11 +144,8 @@
         double room = team.cpusMax() - used(team.name());
         for (String uid : accepted.keySet()) {
             JobDescription job = submitted.get(uid);
-            for (int i = 0; job.crew().equals(team.name()) && !isOver(uid) && job.vcpus() > room && i < job.shards(); i++) {
-                TaskId task = new TaskId(uid, i);
-                if (!done.contains(task) && !on.containsKey(task)) {
-                    return true;
-                }
+            if (job.crew().equals(team.name()) && !isOver(uid) && job.vcpus() > room && hasWaiting(job)) {
+                return true;
             }
         }
         return false;
--- a/src/test/java/org/woadloom/sim/World.java
+++ b/src/test/java/org/woadloom/sim/World.java
@@ -83,10 +83,17 @@
     int oneTaskJobsCancelled;
     /** Transactions that were carried out and whose answer was lost. */
     int lostAnswersMade;
+    /** Those after which another node read jobs before the one that wrote had given up. */
+    int lostAnswersReadElsewhere;
     /** Copies that came to a node after the term had changed. */
     int keptCopies;
     /** Machines that were up within two seconds. */
     int quickBoots;
+    int leadersEndedInOutages;
+    /** The service is broken at its store from this moment on. */
+    long brokenFrom;
+    private long slowLinksMicros;
+    private long slowLinksUntil;
     private int jobs;
 
     /** One node and the life of its process. */
@@ -343,7 +350,8 @@
     }
 
     private long delay() {
-        return 200 + random.nextInt(random.nextInt(20) == 0 ? 80_000 : 4_000);
+        long slow = loop.now() < slowLinksUntil ? more.nextLong(slowLinksMicros + 1) : 0;
+        return 200 + random.nextInt(random.nextInt(20) == 0 ? 80_000 : 4_000) + slow;
     }
 
     private void fromNode(Member member, int mine, String address, String method, String path, byte[] body,
@@ -355,7 +363,7 @@
         }, reply -> {
             Map<String, Object> map = decode(body);
             if (address.equals("state")) {
-                stateTroubles.meet(path, reply, respond -> arrived(member, mine, address, method, path, map, respond));
+                stateTroubles.meet(member.index, path, reply, respond -> arrived(member, mine, address, method, path, map, respond));
             } else {
                 arrived(member, mine, address, method, path, map, reply);
             }
@@ -365,6 +373,9 @@
     /** What a node sent has come to where it is to be answered. */
     private void arrived(Member member, int mine, String address, String method, String path, Map<String, Object> map,
             StateStandIn.Answer respond) {
+        if (address.equals("state") && broken(path, map, respond)) {
+            return;
+        }
         if (yardOf(member.index).equals(island)) {
             // Held back, and executed when the zone is back.
             loop.after(1_000_000, () -> fromNodeHeld(member, mine, address, method, path, map, respond));
@@ -376,10 +387,6 @@
         } else if (address.equals("state") && member.version != Version.NOW) {
             toStateAsOld(member, mine, method, path, map, respond);
         } else if (address.equals("state")) {
-            if (day.flaw() == Day.Flaw.ONE_JOB_REFUSED && map.isEmpty() && path.startsWith("/keys/job/j-") && path.endsWith("7")) {
-                respond.answer(503, Map.of("error", "trouble"));
-                return;
-            }
             if (path.equals("/txn") && random.nextInt(100) < lateWrites) {
                 loop.after(2_000_000 + random.nextInt(10_000_000), () -> carriedOutLate(member, map));
                 return;
@@ -395,6 +402,43 @@
         }
     }
 
+    /** Where the service is broken on purpose at its store: true if that is what answers. */
+    private boolean broken(String path, Map<String, Object> body, StateStandIn.Answer respond) {
+        boolean job = path.startsWith("/keys/job/j-");
+        if (loop.now() < brokenFrom) {
+            return false;
+        }
+        switch (day.flaw()) {
+            case ONE_JOB_REFUSED -> {
+                if (job && path.endsWith("7")) {
+                    respond.answer(503, Map.of("error", "trouble"));
+                    return true;
+                }
+            }
+            case UNSEEN_RECORDS -> {
+                if (job && random.nextInt(20) == 0) {
+                    respond.answer(404, Map.of("generation", 0L));
+                    return true;
+                }
+            }
+            case OLD_CHANGES -> {
+                if (path.startsWith("/follow?") && path.endsWith("blockMs=0") && random.nextBoolean()) {
+                    long since = Long.parseLong(path.replaceAll(".*since=(\\d+)&.*", "$1"));
+                    respond.answer(200, Map.of("generation", since, "events", List.of()));
+                    return true;
+                }
+            }
+            case NO_CONDITIONS -> {
+                if (path.equals("/txn")) {
+                    body.put("if", List.of());
+                }
+            }
+            default -> {
+            }
+        }
+        return false;
+    }
+
     private void carriedOutLate(Member member, Map<String, Object> txn) {
         if (state.down || member.index == refusedByState) {
             loop.after(500_000, () -> carriedOutLate(member, txn));
@@ -800,7 +844,26 @@
     }
 
     private void fault() {
-        switch (random.nextInt(25)) {
+        switch (random.nextInt(36)) {
+            case 25 -> lookClosely(5_000_000 + random.nextInt(25_000_000));
+            case 26 -> oddRequests(5_000_000 + random.nextInt(25_000_000));
+            case 27 -> loseAnswers(5 + random.nextInt(40), random.nextInt(40_000_000));
+            case 28 -> {
+                keepForNextLeader(5 + random.nextInt(30), 1_000_000 + random.nextInt(20_000_000));
+                loop.after(random.nextInt(25_000_000), () -> endLeader(50_000 + random.nextInt(3_000_000)));
+            }
+            case 29 -> cancelNow(1 + random.nextInt(8), random.nextBoolean() ? 0 : random.nextInt(25_000_000));
+            case 30 -> cancelAtEnd(20 + random.nextInt(60), random.nextInt(40_000_000));
+            case 31 -> mute(yardOf(random.nextInt(NODES)), 1 + random.nextInt(3), random.nextInt(40_000_000));
+            case 32 -> quickMachines(random.nextInt(40_000_000));
+            case 33 -> slowState(random.nextInt(1_500_000), random.nextInt(30_000_000));
+            case 34 -> oneTaskJobs(1 + random.nextInt(4), random.nextInt(20_000_000), 25);
+            case 35 -> {
+                int away = 1 + random.nextInt(15);
+                for (int node = 0; node < NODES; node++) {
+                    end(node, away * 1_000_000L + random.nextInt(1_000_000));
+                }
+            }
             case 24 -> writeLate(5 + random.nextInt(40), random.nextInt(40_000_000));
             case 22, 23 -> gap(1_000_000 + random.nextInt(4_000_000), 10_000_000 + random.nextInt(60_000_000));
             case 16, 17 -> anyWorker(worker -> worker.deafUntil = loop.now() + random.nextInt(40_000_000));
@@ -972,6 +1035,19 @@
         cloud.quickUntil = loop.now() + forMicros;
     }
 
+    /** Whatever is sent takes up to so much longer. */
+    void slowLinks(long extraMicros, long forMicros) {
+        slowLinksMicros = extraMicros;
+        slowLinksUntil = loop.now() + forMicros;
+    }
+
+    /** All machines but so many die, and the cloud has no more. */
+    void littleRoom(int machines, long forMicros) {
+        cloud.machines.values().stream().skip(machines).forEach(WorkerStandIn::die);
+        cloud.capacity = machines;
+        loop.after(forMicros, () -> cloud.capacity = CloudStandIn.CAPACITY);
+    }
+
     /** How many terms were taken. */
     int leaderChanges() {
         return state.value("term") == null ? 0 : (int) term();
@@ -1142,6 +1218,18 @@
         return (Long) state.value("term").get("term");
     }
 
+    /** Every few seconds the leader's process ends, and another begins at once. */
+    void endLeaders(long forMicros) {
+        long until = loop.now() + forMicros;
+        loop.after(2_000_000 + more.nextInt(3_000_000), () -> {
+            if (loop.now() < until) {
+                leadersEndedInOutages += state.down && state.value("leader") != null && members[leader()].alive ? 1 : 0;
+                endLeader(50_000 + more.nextInt(400_000));
+                endLeaders(until - loop.now());
+            }
+        });
+    }
+
     /** The same of the node that leads, if there is one. */
     void endLeader(long forMicros) {
         if (state.value("leader") != null) {
