Jobs that can never run are refused by their zones too, and only by types just read

Cause: JobApi.refusal looked at a type's size and name alone, not at the zones that offer it, nor at terms that exclude each other, so jobs that can never run were accepted; and a node read the machine types once in its life, so that it refused with 422 for ever what fits only a type added since. Change: Admission refuses what needs all its tasks at once and may have but half of them in one zone, and what no zone offers; a refusal that rests on the types is given only after the cloud told them within 10 s, and is 503 while it does not. Arrays with apart and one zone are taken as before: their tasks take turns there.

--- /dev/null
+++ b/src/main/java/org/woadloom/http/Admission.java
@@ -0,0 +1,134 @@
+package org.woadloom.http;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.woadloom.net.Loop;
+import org.woadloom.settings.ServiceSettings;
+import org.woadloom.settings.Team;
+import org.woadloom.wire.JobDescription;
+import org.woadloom.wire.MachineType;
+
+/**
+ * Whether a job can run at all. A job that is refused is not submitted again, so 422 is said only of what is certain: that
+ * there is no room now is no reason, and what the machine types speak against is refused only once the cloud has told them
+ * anew, as a type may have been added since this node last read them. Until then it is 503.
+ */
+final class Admission {
+    /** The types change with the settings of the cloud; whoever submits what fits none costs at most a call in so long. */
+    private static final long FRESH_MICROS = 10_000_000;
+    /** Users wait 5 s for an answer. */
+    private static final long PATIENCE_MICROS = 2_000_000;
+
+    private final Loop loop;
+    private final ServiceSettings settings;
+    private final JobApi.Types types;
+    /** When the reading of the types began that was answered last. */
+    private long readMicros = Long.MIN_VALUE / 2;
+    /** What waits for the reading under way. */
+    private List<Runnable> waiting = List.of();
+
+    Admission(Loop loop, ServiceSettings settings, JobApi.Types types) {
+        this.loop = loop;
+        this.settings = settings;
+        this.types = types;
+    }
+
+    /** Answers with null for a job that can run as far as is known, or why it can't, or can't be decided now. */
+    void judge(JobDescription job, Consumer<Response> refusal) {
+        String never = neverByItsTerms(job, settings.team(job.crew()), settings.zones());
+        if (never != null) {
+            refusal.accept(Response.error(422, never));
+        } else if (types.types().isEmpty()) {
+            refusal.accept(Response.unavailable("the machine types are not known yet"));
+        } else if (neverByTypes(job, types.types()) == null) {
+            refusal.accept(null);
+        } else if (fresh()) {
+            refusal.accept(Response.error(422, neverByTypes(job, types.types())));
+        } else {
+            whenRead(() -> {
+                String still = neverByTypes(job, types.types());
+                refusal.accept(still == null ? null : fresh() ? Response.error(422, still)
+                        : Response.unavailable("the cloud does not tell its machine types now"));
+            });
+        }
+    }
+
+    private boolean fresh() {
+        return loop.nowMicros() - readMicros <= FRESH_MICROS;
+    }
+
+    private void whenRead(Runnable then) {
+        if (!waiting.isEmpty()) {
+            waiting.add(then);
+            return;
+        }
+        waiting = new ArrayList<>(List.of(then));
+        List<Runnable> mine = waiting;
+        long began = loop.nowMicros();
+        types.readAnew(answered -> {
+            if (answered) {
+                readMicros = Math.max(readMicros, began);
+            }
+            read(mine);
+        });
+        loop.schedule(PATIENCE_MICROS, () -> read(mine));
+    }
+
+    private void read(List<Runnable> mine) {
+        if (waiting == mine) {
+            waiting = List.of();
+            mine.forEach(Runnable::run);
+        }
+    }
+
+    /** Why the job can't run whatever machines there are; null if it may. */
+    static String neverByItsTerms(JobDescription job, Team team, List<String> zones) {
+        if (team == null) {
+            return "crew: unknown team";
+        }
+        int together = together(job) ? job.shards() : 1;
+        if (job.vcpus() * together > team.cpusMax() + 1e-9 || job.cards() * together > team.gpusMax() + 1e-9) {
+            return "the job needs more than the team's limit";
+        }
+        if (job.yard() != null && !zones.contains(job.yard())) {
+            return "yard: unknown zone";
+        }
+        if (job.hosttypes() != null && job.hosttypes().isEmpty()) {
+            return "hosttypes: none is allowed";
+        }
+        if (spreads(job) && (job.samePlace() || job.yard() != null)) {
+            return "apart: half of the tasks at most may be in one zone, and all must be";
+        }
+        return null;
+    }
+
+    /** Why the job can't run on such machines; null if it may. */
+    static String neverByTypes(JobDescription job, List<MachineType> types) {
+        Set<String> zones = new HashSet<>();
+        for (MachineType type : types) {
+            if (type.holds(job) && (job.hosttypes() == null || job.hosttypes().contains(type.name()))) {
+                zones.addAll(type.yards());
+            }
+        }
+        if (job.yard() != null) {
+            zones.retainAll(Set.of(job.yard()));
+        }
+        if (zones.isEmpty()) {
+            return "a task fits no allowed machine type that is offered where it may run";
+        }
+        return spreads(job) && zones.size() < 2 ? "apart: only one zone offers what the tasks need" : null;
+    }
+
+    /** All tasks are needed at once: an array may run a few at a time. */
+    private static boolean together(JobDescription job) {
+        return job.service() || job.gang();
+    }
+
+    /** Its tasks can't all be in one zone at once, and must all run at once. Tasks of an array take turns there. */
+    private static boolean spreads(JobDescription job) {
+        return together(job) && job.apart() && job.shards() > 1;
+    }
+}
--- a/src/main/java/org/woadloom/http/JobApi.java
+++ b/src/main/java/org/woadloom/http/JobApi.java
@@ -10,7 +10,6 @@
 import org.woadloom.reads.SharedReads;
 import org.woadloom.reads.Unanswered;
 import org.woadloom.settings.ServiceSettings;
-import org.woadloom.settings.Team;
 import org.woadloom.state.FinalRecord;
 import org.woadloom.state.JobRecord;
 import org.woadloom.state.Keys;
@@ -50,9 +49,13 @@
         void mayTell(String uid, long patienceMicros, Consumer<Boolean> answer);
     }
 
-    /** Where the machine types come from; empty while they are unknown. */
+    /** Where the machine types come from. */
     public interface Types {
+        /** As they were last read, empty while they are unknown. */
         List<MachineType> types();
+
+        /** Reads them from the cloud; false if that does not answer. */
+        void readAnew(Consumer<Boolean> answered);
     }
 
     /** How and how large records may be now. */
@@ -69,27 +72,26 @@
 
     private final Loop loop;
     private final StateClient state;
-    private final ServiceSettings settings;
     private final Storage storage;
-    private final Types types;
     private final Hint hint;
     private final Confirmation confirmation;
     private final JobReader reader;
     private final SharedReads shared;
+    private final Admission admission;
     private final Unanswered unanswered;
 
     public JobApi(Loop loop, StateClient state, ServiceSettings settings, Storage storage, Types types, Hint hint,
             Confirmation confirmation) {
         this.loop = loop;
         this.state = state;
-        this.settings = settings;
         this.storage = storage;
-        this.types = types;
         this.hint = hint;
         this.confirmation = confirmation;
         reader = new JobReader(state, storage::seen);
         unanswered = new Unanswered(loop);
-        shared = new SharedReads(loop, state, reader, settings.state(), settings.peers().size() + 1);
+        int nodes = settings.peers().size() + 1;
+        shared = new SharedReads(loop, state, reader, settings.state(), nodes);
+        admission = new Admission(loop, settings, types);
     }
 
     /** Logs what its user had to wait for. */
@@ -114,21 +116,21 @@
             return;
         }
         JobDescription job;
-        Response refusal;
         try {
             job = JobDescription.submitted(map);
-            refusal = refusal(job);
         } catch (WireException e) {
-            job = null;
-            refusal = Response.error(400, e.getMessage());
-        }
-        if (refusal != null) {
-            refuseUnlessKnown(map.get("uid"), refusal, answer);
-        } else if (job.awaits().isEmpty()) {
-            create(job, answer);
-        } else {
-            createAfter(job, answer);
+            refuseUnlessKnown(map.get("uid"), Response.error(400, e.getMessage()), answer);
+            return;
         }
+        admission.judge(job, refusal -> {
+            if (refusal != null) {
+                refuseUnlessKnown(job.uid(), refusal, answer);
+            } else if (job.awaits().isEmpty()) {
+                create(job, answer);
+            } else {
+                createAfter(job, answer);
+            }
+        });
     }
 
     /** A job that was accepted stays accepted, whatever a repeated request looks like. */
@@ -141,37 +143,15 @@
             if (looked == null) {
                 answer.accept(Response.unavailable("the state service does not answer"));
             } else if (looked.status() != null) {
-                tell(SharedReads.Shown.of(looked), PATIENCE_MICROS, () -> answer.accept(Response.of(200, looked.status().toMap())),
-                        answer);
+                tellAccepted(looked, answer);
             } else {
                 answer.accept(refusal);
             }
         });
     }
 
-    /** Why the job can never run, or can't be decided now; null if it can. */
-    private Response refusal(JobDescription job) {
-        Team team = settings.team(job.crew());
-        if (team == null) {
-            return Response.error(422, "crew: unknown team");
-        }
-        int together = job.service() || job.gang() ? job.shards() : 1;
-        if (job.vcpus() * together > team.cpusMax() + 1e-9 || job.cards() * together > team.gpusMax() + 1e-9) {
-            return Response.error(422, "the job needs more than the team's limit");
-        }
-        if (job.yard() != null && !settings.zones().contains(job.yard())) {
-            return Response.error(422, "yard: unknown zone");
-        }
-        List<MachineType> known = types.types();
-        if (known.isEmpty()) {
-            return Response.unavailable("the machine types are not known yet");
-        }
-        for (MachineType type : known) {
-            if (type.holds(job) && (job.hosttypes() == null || job.hosttypes().contains(type.name()))) {
-                return null;
-            }
-        }
-        return Response.error(422, "a task fits no allowed machine type");
+    private void tellAccepted(Looked looked, Consumer<Response> answer) {
+        tell(SharedReads.Shown.of(looked), PATIENCE_MICROS, () -> answer.accept(Response.of(200, looked.status().toMap())), answer);
     }
 
     /**
--- a/src/main/java/org/woadloom/node/Node.java
+++ b/src/main/java/org/woadloom/node/Node.java
@@ -191,7 +191,7 @@
             }
         });
         confirmations = new Confirmations(loop, settings, random, carrier(), view());
-        JobApi jobs = new JobApi(loop, state, settings, storage(), () -> types, this::changed, confirmations);
+        JobApi jobs = new JobApi(loop, state, settings, storage(), types(), this::changed, confirmations);
         router = new Router(gate(), jobs, this::report, metrics);
         metrics.gauge("woadloom.jobs.unanswered_s", jobs, j -> j.longestUnansweredMicros() / 1e6);
         metrics.gauge("woadloom.alone", this, node -> node.alone() ? 1 : 0);
@@ -391,6 +391,26 @@
         }
     }
 
+    private JobApi.Types types() {
+        return new JobApi.Types() {
+            @Override
+            public List<MachineType> types() {
+                return types;
+            }
+
+            @Override
+            public void readAnew(Consumer<Boolean> answered) {
+                cloud.types(found -> {
+                    boolean told = found != null && !found.isEmpty();
+                    if (told) {
+                        typesSeen(found);
+                    }
+                    answered.accept(told);
+                });
+            }
+        };
+    }
+
     /** The machine types, from the cloud or, while that does not answer, as another node stored them. */
     private void readTypes() {
         cloud.types(found -> {
--- a/src/test/java/org/woadloom/sim/BadInputTest.java
+++ b/src/test/java/org/woadloom/sim/BadInputTest.java
@@ -203,6 +203,8 @@
         fields(cases, jobs, job(), 400, "awaits", "j-1", List.of(1L));
         fields(cases, jobs, job(), 422, "crew", "nobody");
         fields(cases, jobs, job(), 422, "yard", "nowhere");
+        // The one machine type is offered in a alone.
+        fields(cases, jobs, job(), 422, "yard", "b");
         fields(cases, jobs, job(), 422, "hosttypes", List.of(), List.of("none"));
         fields(cases, jobs, job(), 422, "vcpus", 2.0, 1e300);
         fields(cases, jobs, job(), 422, "ramGb", 9.0);
