Users hear of a write without an answer as soon as it is read that it was carried out

Cause: a submission or cancellation whose transaction had no answer was 503 after the time-out of 2 s, though the store had carried it out at once. Change: UserWrites reads the job 0.4 and 1.2 s after the write, or at its time-out, twice at most and within a tenth of the request rate; what is there is told by the ways of old (cancellations through tell, the hint to the leader once), what is not there proves nothing, and a record with another stamp makes a cancellation that is void begin again.

--- a/src/main/java/org/woadloom/http/JobApi.java
+++ b/src/main/java/org/woadloom/http/JobApi.java
@@ -78,6 +78,7 @@
     private final JobReader reader;
     private final SharedReads shared;
     private final Admission admission;
+    private final UserWrites writes;
     private final Unanswered unanswered;
 
     public JobApi(Loop loop, StateClient state, ServiceSettings settings, Storage storage, Types types, Hint hint,
@@ -92,6 +93,7 @@
         int nodes = settings.peers().size() + 1;
         shared = new SharedReads(loop, state, reader, settings.state(), nodes);
         admission = new Admission(loop, settings, types);
+        writes = new UserWrites(loop, state, settings.state().rps(), nodes);
     }
 
     /** Logs what its user had to wait for. */
@@ -215,13 +217,15 @@
             refuseUnlessKnown(job.uid(), Response.error(400, "the job's description is too long"), answer);
             return;
         }
-        state.txn(Urgency.USER,
-                List.of(new Condition(Keys.job(job.uid()), 0), new Condition(Keys.finalState(job.uid()), 0)),
-                List.of(Change.put(Keys.job(job.uid()), value)), (result, generation, failed) -> {
-                    if (result == Result.OK) {
+        writes.write(job.uid(), List.of(new Condition(Keys.job(job.uid()), 0), new Condition(Keys.finalState(job.uid()), 0)),
+                Change.put(Keys.job(job.uid()), value), reader::lookForRecord, found -> true, (result, generation, found) -> {
+                    boolean ours = found != null && record.equals(found.record());
+                    if (result == Result.OK || ours) {
                         reader.accepted(job.uid(), job.service());
-                        hint.changed(record, generation);
+                        hint.changed(record, ours ? found.stamp() : generation);
                         answer.accept(Response.of(201, new JobStatus(job.uid(), "queued", -1, 0).toMap()));
+                    } else if (found != null) {
+                        tellAccepted(found, answer);
                     } else if (result == Result.CONFLICT) {
                         refuseUnlessKnown(job.uid(), Response.unavailable("the job changed meanwhile"), answer);
                     } else if (result == Result.BAD) {
@@ -360,30 +364,41 @@
     }
 
     private void cancel(String uid, int tries, Consumer<Response> answer) {
-        reader.look(uid, looked -> {
-            if (looked == null || tries == 0) {
-                answer.accept(Response.unavailable("the job could not be cancelled now"));
-            } else if (looked.status() == null) {
-                answer.accept(Response.error(404, "no such job"));
-            } else if (looked.unread() != null) {
-                cancelUnread(looked, answer);
-            } else if (looked.finalState() != null || looked.record().cancelled() || looked.record().allDone()) {
-                tellEnd(new JobStatus(uid, looked.status().status(), -1, 0), answer);
-            } else {
-                JobRecord cancelled = looked.record().asCancelled();
-                RecordFormat format = looked.format() == RecordFormat.COMPACT ? looked.format() : storage.format();
-                state.txn(Urgency.USER, List.of(new Condition(Keys.job(uid), looked.stamp())),
-                        List.of(Change.put(Keys.job(uid), cancelled.toMap(format))), (result, generation, failed) -> {
-                            if (result == Result.OK) {
-                                hint.changed(cancelled, generation);
-                                tellEnd(new JobStatus(uid, "cancelled", -1, 0), answer);
-                            } else if (result == Result.CONFLICT) {
-                                cancel(uid, tries - 1, answer);
-                            } else {
-                                answer.accept(Response.unavailable("the job could not be cancelled now"));
+        reader.look(uid, looked -> cancel(uid, looked, tries, answer));
+    }
+
+    private void cancel(String uid, Looked looked, int tries, Consumer<Response> answer) {
+        if (looked == null) {
+            answer.accept(Response.unavailable("the job could not be cancelled now"));
+        } else if (looked.status() == null) {
+            answer.accept(Response.error(404, "no such job"));
+        } else if (looked.unread() != null) {
+            cancelUnread(looked, answer);
+        } else if (looked.finalState() != null || looked.record().cancelled() || looked.record().allDone()) {
+            tellEnd(new JobStatus(uid, looked.status().status(), -1, 0), answer);
+        } else if (tries == 0) {
+            answer.accept(Response.unavailable("the job could not be cancelled now"));
+        } else {
+            JobRecord cancelled = looked.record().asCancelled();
+            RecordFormat format = looked.format() == RecordFormat.COMPACT ? looked.format() : storage.format();
+            // Once the record has another stamp, the write was carried out or never will be.
+            writes.write(uid, List.of(new Condition(Keys.job(uid), looked.stamp())),
+                    Change.put(Keys.job(uid), cancelled.toMap(format)), reader::look,
+                    found -> found.status() != null && found.stamp() != looked.stamp(), (result, generation, found) -> {
+                        if (result == Result.OK) {
+                            hint.changed(cancelled, generation);
+                            tellEnd(new JobStatus(uid, "cancelled", -1, 0), answer);
+                        } else if (found != null) {
+                            if (found.record() != null && found.record().cancelled()) {
+                                hint.changed(found.record(), found.stamp());
                             }
-                        });
-            }
-        });
+                            cancel(uid, found, tries - 1, answer);
+                        } else if (result == Result.CONFLICT) {
+                            cancel(uid, tries - 1, answer);
+                        } else {
+                            answer.accept(Response.unavailable("the job could not be cancelled now"));
+                        }
+                    });
+        }
     }
 }
--- a/src/main/java/org/woadloom/reads/JobReader.java
+++ b/src/main/java/org/woadloom/reads/JobReader.java
@@ -70,6 +70,12 @@
         });
     }
 
+    /** Reads a job's record alone; null if the store does not say or there is none, which does not say that there is no job. */
+    public void lookForRecord(Urgency urgency, String uid, Consumer<Looked> consumer) {
+        state.get(urgency, Keys.job(uid), (result, entry, generation) -> consumer.accept(
+                result == Result.OK ? parse(uid, entry.value(), entry.stamp()) : null));
+    }
+
     /** A job moves from its record to its final state in one transaction, so this order of reading can't miss it. */
     private void lookForFinal(Urgency urgency, String uid, Consumer<Looked> consumer) {
         state.get(urgency, Keys.finalState(uid), (result, entry, generation) -> {
--- /dev/null
+++ b/src/test/java/org/woadloom/sim/UserWritesTest.java
@@ -0,0 +1,234 @@
+package org.woadloom.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.woadloom.http.JobApi;
+import org.woadloom.http.Response;
+import org.woadloom.net.HttpTransport;
+import org.woadloom.settings.ServiceSettings;
+import org.woadloom.settings.Team;
+import org.woadloom.state.JobRecord;
+import org.woadloom.state.RecordFormat;
+import org.woadloom.state.StateClient;
+import org.woadloom.wire.Cbor;
+import org.woadloom.wire.MachineType;
+import org.woadloom.wire.WireException;
+
+/** What users hear of submissions and cancellations whose transactions have no answer, or a late one; and of types added since. */
+class UserWritesTest {
+    private static final ServiceSettings.State LIMITS = new ServiceSettings.State(150, 60, 8192, 12, null);
+    private static final ServiceSettings SETTINGS = new ServiceSettings("node", "a", "0:1", "0:2", List.of(), "cloud", "state",
+            List.of("a", "b"), List.of(new Team("team", 8, 8, 0, 0)), List.of(), new ServiceSettings.Workers(1, 1, 1), LIMITS,
+            new ServiceSettings.Cloud(1, 1), new ServiceSettings.Resources(1, 1, 1));
+    private static final MachineType TYPE = new MachineType("m", 4, 0, 8, 50, 1, 1, 0.3, 30_000_000, List.of("a"));
+    private static final MachineType ADDED = new MachineType("added", 8, 0, 32, 50, 1, 1, 0.3, 30_000_000, List.of("b"));
+
+    private final SimLoop sim = new SimLoop();
+    private final StateStandIn store = new StateStandIn(sim, new ServiceSettings.State(10_000, 10_000, 8192, 12, null));
+    private final Random random = new Random(11);
+    /** How many of a hundred transactions have no answer; they are carried out so much later, or never if below 0. */
+    private int unanswered;
+    private long carriedOutAfter;
+    private int lost;
+    private int reads;
+    private final Map<String, Integer> hints = new LinkedHashMap<>();
+    private List<MachineType> types = List.of(TYPE);
+    /** What the cloud would say, null in an outage of it. */
+    private List<MachineType> offered = types;
+    private int typesRead;
+    private final JobApi api = new JobApi(sim.loop(), StateStandIn.client(sim.loop(), this::request, LIMITS, 3), SETTINGS,
+            new JobApi.Storage() {
+                @Override
+                public RecordFormat format() {
+                    return RecordFormat.COMPACT;
+                }
+
+                @Override
+                public int valueBytes() {
+                    return 8192;
+                }
+
+                @Override
+                public void seen(RecordFormat format) {
+                }
+            }, new JobApi.Types() {
+                @Override
+                public List<MachineType> types() {
+                    return types;
+                }
+
+                @Override
+                public void readAnew(Consumer<Boolean> answered) {
+                    typesRead++;
+                    sim.after(5_000, () -> {
+                        types = offered == null ? types : offered;
+                        answered.accept(offered != null);
+                    });
+                }
+            }, (record, stamp) -> hints.merge(record.description().uid() + record.cancelled(), 1, Integer::sum),
+            (uid, patience, answer) -> answer.accept(true));
+
+    /** What one request came to. */
+    private static final class Asked {
+        final String uid;
+        Response response;
+        long tookMicros;
+        int answers;
+
+        Asked(String uid) {
+            this.uid = uid;
+        }
+
+        boolean toldWithin(long micros) {
+            return response != null && response.status() / 100 == 2 && tookMicros <= micros;
+        }
+    }
+
+    private void request(String address, String method, String path, byte[] body, long timeout, HttpTransport.Callback callback) {
+        boolean[] answered = {false};
+        sim.after(timeout, () -> answer(answered, callback, HttpTransport.NO_RESPONSE, Map.of()));
+        boolean none = path.equals("/txn") && random.nextInt(100) < unanswered;
+        lost += none ? 1 : 0;
+        reads += method.equals("GET") ? 1 : 0;
+        if (!none || carriedOutAfter >= 0) {
+            sim.after(none ? 3_000 + carriedOutAfter : 3_000, () -> handle(method, path, body, (status, map) -> sim.after(2_000, () -> {
+                if (!none) {
+                    answer(answered, callback, status, map);
+                }
+            })));
+        }
+    }
+
+    private void handle(String method, String path, byte[] body, StateStandIn.Answer answer) {
+        try {
+            store.handle(method, path, body == null ? Map.of() : Cbor.decodeMap(body), answer);
+        } catch (WireException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static void answer(boolean[] answered, HttpTransport.Callback callback, int status, Map<String, Object> map) {
+        if (!answered[0]) {
+            answered[0] = true;
+            callback.answered(status, status > 0 ? Cbor.encode(map) : new byte[0]);
+        }
+    }
+
+    private Asked ask(String uid, Consumer<Consumer<Response>> request) {
+        Asked asked = new Asked(uid);
+        long from = sim.now();
+        request.accept(response -> {
+            asked.answers++;
+            asked.response = response;
+            asked.tookMicros = sim.now() - from;
+        });
+        return asked;
+    }
+
+    private Asked submit(Map<String, Object> job) {
+        return ask((String) job.get("uid"), answer -> api.submit(Cbor.encode(job), answer));
+    }
+
+    private static Map<String, Object> job(int number) {
+        return LoopbackNode.job(String.format("j-%06d", number), "team");
+    }
+
+    private List<Asked> submissions(int count) {
+        List<Asked> asked = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            asked.add(submit(job(i)));
+            sim.run(sim.now() + 250_000);
+        }
+        sim.run(sim.now() + 8_000_000);
+        asked.forEach(one -> assertEquals(1, one.answers, one.uid));
+        return asked;
+    }
+
+    private static double share(List<Asked> asked, long micros) {
+        return asked.stream().filter(one -> one.toldWithin(micros)).count() / (double) asked.size();
+    }
+
+    /** Three tenths of the answers are lost, and with them the time until a time-out; now users hear of what was carried out. */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 700_000})
+    void whatWasCarriedOutIsToldWithoutItsAnswer(long later) {
+        unanswered = 30;
+        carriedOutAfter = later;
+        List<Asked> submitted = submissions(300);
+        List<Asked> cancelled = new ArrayList<>();
+        for (Asked one : submitted) {
+            cancelled.add(ask(one.uid, answer -> api.cancel(one.uid, answer)));
+            sim.run(sim.now() + 250_000);
+        }
+        sim.run(sim.now() + 8_000_000);
+        assertTrue(lost > 120, lost + " answers lost");
+        long within = later == 0 ? 1_000_000 : 2_000_000;
+        assertEquals(1, share(submitted, within));
+        assertEquals(1, share(cancelled, within));
+        assertEquals(2 * submitted.size(), hints.size(), "each change is told to the leader");
+        assertEquals(List.of(), hints.entrySet().stream().filter(hint -> hint.getValue() != 1).toList(), "and once");
+    }
+
+    /** What is not there may be carried out still, or never: nobody hears of it, and two reads at most look for it. */
+    @Test
+    void whatIsNotThereProvesNothing() {
+        unanswered = 100;
+        carriedOutAfter = -1;
+        List<Asked> submitted = submissions(40);
+        assertEquals(0, share(submitted, 10_000_000));
+        assertEquals(40, submitted.stream().filter(one -> one.response.status() == 503).count());
+        assertEquals(Map.of(), hints);
+        assertTrue(reads > 40 && reads <= 80, reads + " reads");
+    }
+
+    /** A leader's change made the cancellation void: it is tried again as soon as that is read. */
+    @Test
+    void aCancellationThatIsVoidIsTriedAgain() {
+        Asked submitted = submit(job(1));
+        sim.run(sim.now() + 100_000);
+        assertEquals(201, submitted.response.status());
+        unanswered = 100;
+        carriedOutAfter = 200_000;
+        Asked cancelled = ask(submitted.uid, answer -> api.cancel(submitted.uid, answer));
+        sim.run(sim.now() + 100_000);
+        Map<String, Object> record = new LinkedHashMap<>(store.value("job/" + submitted.uid));
+        record.put("running", 1L);
+        store.handle("POST", "/txn", Map.of("if", List.of(), "then", List.of(Map.of("put", "job/" + submitted.uid, "value", record))),
+                (status, answer) -> assertEquals(200, status));
+        unanswered = 0;
+        sim.run(sim.now() + 3_000_000);
+        assertTrue(cancelled.toldWithin(1_000_000), cancelled.tookMicros + " us");
+        assertTrue(JobRecord.formatOf(store.value("job/" + submitted.uid)) == RecordFormat.COMPACT
+                && Boolean.TRUE.equals(store.value("job/" + submitted.uid).get("cancelled")));
+    }
+
+    /** A type that was added after this node read the types is no reason to refuse a job; without the cloud it can't be said. */
+    @Test
+    void whatFitsATypeThatWasAddedIsAccepted() {
+        Map<String, Object> job = job(1);
+        job.put("hosttypes", List.of("added"));
+        offered = null;
+        Asked undecided = submit(job);
+        sim.run(sim.now() + 100_000);
+        assertEquals(503, undecided.response.status());
+        offered = List.of(TYPE, ADDED);
+        Asked accepted = submit(job);
+        Map<String, Object> never = job(2);
+        never.put("ramGb", 100.0);
+        Asked refused = submit(never);
+        sim.run(sim.now() + 100_000);
+        assertEquals(201, accepted.response.status());
+        assertEquals(422, refused.response.status());
+        assertEquals(2, typesRead, "one reading serves both");
+    }
+}
