--- a/src/test/java/org/woadloom/sim/Day.java
+++ b/src/test/java/org/woadloom/sim/Day.java
@@ -46,7 +46,11 @@
         /** Nodes vouch for cancellations without naming any. */
         VOUCHES_FOR_ANYTHING,
         /** No node ever gets an answer for one job. */
-        ONE_JOB_REFUSED
+        ONE_JOB_REFUSED,
+        /** Nodes give a submission's missing fields the usual values. */
+        FILLS_IN_WHAT_IS_MISSING,
+        /** Nodes that ask what has changed are told that nothing has. */
+        CHANGES_GO_UNSEEN
     }
 
     List<String> zoneNames() {
--- a/src/test/java/org/woadloom/sim/World.java
+++ b/src/test/java/org/woadloom/sim/World.java
@@ -384,9 +384,11 @@
                 loop.after(2_000_000 + random.nextInt(10_000_000), () -> carriedOutLate(member, map));
                 return;
             }
+            String asked = day.flaw() == Day.Flaw.CHANGES_GO_UNSEEN && path.startsWith("/follow?prefix=job/") && path.endsWith("blockMs=0")
+                    ? path.replaceFirst("since=\\d+", "since=" + Long.MAX_VALUE) : path;
             StateStandIn.Answer watch = path.startsWith("/follow") ? (status, answer) -> unlessRefused(member, status, answer, respond)
                     : respond;
-            state.handle(method, path, map, day.flaw() == Day.Flaw.FORGETS_AWAITS ? (status, answer) -> watch.answer(status,
+            state.handle(method, asked, map, day.flaw() == Day.Flaw.FORGETS_AWAITS ? (status, answer) -> watch.answer(status,
                     ProductionFilter.withoutAwaits(answer)) : watch);
         } else if (address.equals("cloud")) {
             loop.after(150_000, () -> cloud.handle(method, path, map, respond));
@@ -481,6 +483,14 @@
         }
     }
 
+    private static Map<String, Object> filledIn(Map<String, Object> job) {
+        try {
+            return JobDescription.parse(job).toMap();
+        } catch (WireException e) {
+            return job;
+        }
+    }
+
     /** A worker's or a user's request to a node. */
     void toNode(String from, int index, String method, String path, Map<String, Object> body, long timeout,
             StateStandIn.Answer callback) {
@@ -506,7 +516,8 @@
         if (worker != null && worker.deaf() && day.flaw() == Day.Flaw.DEAF_SEEM_TO_HEAR) {
             body.put("epoch", Math.max((Long) body.get("epoch"), worker.tokenSent));
         }
-        byte[] bytes = body == null ? new byte[0] : Cbor.encode(body);
+        boolean fillsIn = day.flaw() == Day.Flaw.FILLS_IN_WHAT_IS_MISSING && path.equals("/v1/jobs");
+        byte[] bytes = body == null ? new byte[0] : Cbor.encode(fillsIn ? filledIn(body) : body);
         if (worker != null && random.nextInt(100) < copies) {
             copy(body);
         }
