What a new leader's first message of a later session lists is there

Cause: Reports.newSession let go of a placement from an earlier leader's record once the worker had acknowledged this term, also where the very message that shows both the new session and the token lists the task: an old report of session 1 comes to a new leader, its greeting for that session is refused by the worker, which is in session 2 and has seen the token, and what the earlier leader launched in session 2 counted as gone, was halted as a stranger's and placed again (ran_twice, quota). Change: placements from records are left to what the message lists, which has its own proof by the token.

--- a/src/main/java/org/woadloom/core/machines/Reports.java
+++ b/src/main/java/org/woadloom/core/machines/Reports.java
@@ -165,9 +165,8 @@
 
     private void newSession(Machine machine) {
         for (Placement placement : machine.snapshot()) {
-            // An earlier leader may still launch what it had recorded, until the worker acknowledges our token.
-            boolean mayCome = placement.stage == Stage.INHERITED && !machine.acknowledged();
-            if (!placement.neverSent() && !mayCome) {
+            // An earlier leader may have launched it in this session, or may still: what the message lists decides about it.
+            if (!placement.neverSent() && placement.stage != Stage.INHERITED) {
                 losses.lost(placement, "the worker's lease ended");
             }
         }
--- a/src/test/java/org/woadloom/core/LeaderFixture.java
+++ b/src/test/java/org/woadloom/core/LeaderFixture.java
@@ -21,8 +21,7 @@
     public static final long SECOND = 1_000_000;
     private static final MachineType TYPE = new MachineType("m16", 16, 0, 32, 50, 1, 1, 0.3, 30 * SECOND, List.of("a", "b"));
 
-    private final Core core = new Core(new CoreSettings("node", Map.of(), List.of(new Team("team", 64, 200, 0, 0)), List.of(),
-            1_500_000, 10 * SECOND, 30 * SECOND, 3 * SECOND, OperatorSettings.defaults()));
+    private final Core core;
     public long now = 100 * SECOND;
     public final List<Effect> effects = new ArrayList<>();
     private long stamps = 100;
@@ -30,12 +29,25 @@
 
     /** Leads with these machines recorded. */
     public LeaderFixture(String... hosts) {
+        this(200, List.of(), hosts);
+    }
+
+    /**
+     * The same, with what earlier leaders have recorded of jobs.
+     *
+     * @param limit the CPUs that the team may use at most
+     */
+    public LeaderFixture(double limit, List<JobRecord> jobs, String... hosts) {
+        core = new Core(new CoreSettings("node", Map.of(), List.of(new Team("team", Math.min(64, limit), limit, 0, 0)), List.of(),
+                1_500_000, 10 * SECOND, 30 * SECOND, 3 * SECOND, OperatorSettings.defaults()));
+        List<Command.StoredJob> stored = new ArrayList<>();
+        jobs.forEach(job -> stored.add(new Command.StoredJob(job, ++stamps)));
         List<Command.StoredMachine> machines = new ArrayList<>();
         for (String host : hosts) {
             machines.add(new Command.StoredMachine(new MachineRecord(host, "m16", "a", false, false), ++stamps));
         }
         step(new Command.StorageSeen(8192, RecordFormat.COMPACT, 100, false, false), new Command.TypesSeen(List.of(TYPE)),
-                new Command.Lead(TERM, List.of(), machines, now));
+                new Command.Lead(TERM, stored, machines, now));
     }
 
     public void step(Command... commands) {
@@ -66,6 +78,11 @@
     }
 
     public void submit(String uid, int shards) {
+        step(new Command.JobSeen(JobRecord.accepted(job(uid, shards), now), ++stamps));
+    }
+
+    /** Tasks of 8 CPUs each. */
+    public static JobDescription job(String uid, int shards) {
         Map<String, Object> map = new LinkedHashMap<>();
         map.put("uid", uid);
         map.put("jobclass", "work");
@@ -77,7 +94,7 @@
         map.put("ramGb", 1.0);
         map.put("bundle", "img");
         try {
-            step(new Command.JobSeen(JobRecord.accepted(JobDescription.parse(map), now), ++stamps));
+            return JobDescription.parse(map);
         } catch (WireException e) {
             throw new IllegalStateException(e);
         }
