Tasks of a job whose record another has replaced count until they are gone

Cause: JobTable.missing let go of all placements when a job's record was gone, as only a final write of the leader's own was thought to remove it; a cancellation of a damaged record does so too, while tasks are on machines that may be out of reach, and the team's next tasks were placed into their room (quota). Change: such a job stays, cancelled, without a record and without writes, until nothing of it is left.

--- a/src/main/java/org/woadloom/core/jobs/JobTable.java
+++ b/src/main/java/org/woadloom/core/jobs/JobTable.java
@@ -112,12 +112,25 @@
         }
     }
 
-    /** The record is gone, and only a leader's final write removes it. */
+    /**
+     * The record is gone: by a final write of ours without an answer, most likely, or it was damaged and a cancellation's
+     * final state took its place. What waits for the job must not start on a guess, and what may be on machines counts
+     * until it is not.
+     */
     public void missing(String uid) {
         Job job = world.jobs.get(uid);
-        if (job != null && job.recording.reading && job.recording.readSent) {
-            // A write of ours without an answer, most likely; but what waits for the job must not start on a guess.
+        if (job == null || !job.recording.reading || !job.recording.readSent) {
+            return;
+        }
+        world.served.look(job);
+        halt(job);
+        if (job.placements().isEmpty()) {
             finished(job, false);
+        } else {
+            world.note("job " + uid + " is over by another's word, and " + job.placements().size() + " of its tasks are to go");
+            job.cancelled = true;
+            job.recording.replaced();
+            world.placementWorthTrying = true;
         }
     }
 
--- a/src/main/java/org/woadloom/core/jobs/Recorder.java
+++ b/src/main/java/org/woadloom/core/jobs/Recorder.java
@@ -33,9 +33,16 @@
 
     public void emitWrites() {
         List<Job> due = new ArrayList<>();
+        List<Job> gone = new ArrayList<>();
         world.unrecorded.removeIf(job -> job.finished || job.recording.need == Recording.Need.NONE && !job.recording.reading);
         for (Job job : world.unrecorded) {
             Recording recording = job.recording;
+            if (recording.gone()) {
+                if (job.placements().isEmpty()) {
+                    gone.add(job);
+                }
+                continue;
+            }
             if (world.nowMicros < recording.retryMicros) {
                 continue;
             }
@@ -49,6 +56,7 @@
                 due.add(job);
             }
         }
+        gone.forEach(job -> table.finished(job, false));
         if (due.size() > 1) {
             due.sort(ORDER);
         }
--- a/src/main/java/org/woadloom/core/jobs/Recording.java
+++ b/src/main/java/org/woadloom/core/jobs/Recording.java
@@ -22,6 +22,8 @@
     public boolean readSent;
     public long lastWriteMicros = Long.MIN_VALUE / 2;
     public long retryMicros;
+    /** There is none any more, and the final state that took its place is not this leader's: nothing is written. */
+    private boolean gone;
     /** The final state is being written or is written. */
     public boolean finishing;
 
@@ -70,6 +72,17 @@
         needs(Need.LAUNCH);
     }
 
+    /** Another's final state has taken the record's place. */
+    void replaced() {
+        gone = true;
+        reading = false;
+        need = Need.NONE;
+    }
+
+    boolean gone() {
+        return gone;
+    }
+
     /** The record as it was read says that all is done. */
     void readAsDone() {
         readDone = true;
