A limit that is left to work without a machine is given back to the team's other work

Cause: LimitTurns gave one turn after the other, so two large jobs of a team that found no machine kept a part of its limit from all others by turns, and ClassShares kept a class's share for as long as its jobs waited, also for a machine: others of the team waited for ever below its limit while machines had room. Change: five seconds between two turns in which the others get what is free; a share for which the limit has had room for 45 s is not kept until it has none again.

--- a/src/main/java/org/woadloom/core/teams/ClassShares.java
+++ b/src/main/java/org/woadloom/core/teams/ClassShares.java
@@ -17,15 +17,21 @@
     /** What is divided evenly among the classes; the rest goes by the order of service alone. */
     private static final double DIVIDED = 2.0 / 3;
     private static final long TELL_MICROS = 60_000_000;
+    /** A class for which the limit has long had room waits for a machine: meanwhile its share is not kept from the others. */
+    private static final long UNUSED_MICROS = 45_000_000;
 
     private final World world;
     private final Map<TeamUse, Long> toldMicros = new HashMap<>();
+    /** Since when the limit has had room for a job of the class that waits, by team and class. */
+    private final Map<TeamUse, Map<String, Long>> unusedMicros = new HashMap<>();
 
     /** One class of a team: what its tasks use, what those ask for that wait, and one of them. */
     private static final class Demand {
         Room used = Room.NONE;
         Room waiting = Room.NONE;
         Room task = Room.NONE;
+        /** What the job that needs the least begins with, null while none waits. */
+        Room least;
     }
 
     public ClassShares(World world) {
@@ -42,6 +48,10 @@
                 demand.used = demand.used.plus(job.room.times(job.placements().size()));
                 demand.waiting = demand.waiting.plus(job.room.times(job.pending()));
                 demand.task = job.pending() > 0 ? job.room : demand.task;
+                if (job.pending() > 0) {
+                    Room begins = job.room.times(job.description.gang() ? job.pending() : 1);
+                    demand.least = demand.least == null || demand.least.holds(begins) ? begins : demand.least;
+                }
             }
         }
         for (TeamUse team : world.teams.values()) {
@@ -56,8 +66,11 @@
             all = all.plus(demand.used).plus(demand.waiting);
         }
         if (demands.size() < 2 || team.withinLimit(all)) {
+            unusedMicros.remove(team);
             return Map.of();
         }
+        Map<String, Long> unused = unusedMicros.computeIfAbsent(team, t -> new HashMap<>());
+        unused.keySet().retainAll(demands.keySet());
         Room share = team.partOfLimit(DIVIDED / demands.size());
         Map<String, Room> kept = new LinkedHashMap<>();
         demands.forEach((name, demand) -> {
@@ -66,6 +79,11 @@
                 // Less than a task would be nothing at all.
                 missing = demand.task;
             }
+            if (demand.least == null || !team.withinLimit(team.used().plus(demand.least))) {
+                unused.remove(name);
+            } else if (world.nowMicros - unused.computeIfAbsent(name, n -> world.nowMicros) > UNUSED_MICROS) {
+                return;
+            }
             if (missing.cpu() > 0 || missing.card() > 0) {
                 kept.put(name, missing);
             }
--- a/src/main/java/org/woadloom/core/teams/LimitTurns.java
+++ b/src/main/java/org/woadloom/core/teams/LimitTurns.java
@@ -20,11 +20,16 @@
     /** How long others leave the limit to one job, and for how long it has no other turn after that. */
     private static final long TURN_MICROS = 60_000_000;
 
+    /** Between two turns the others of the team get what is free: nobody waits for one turn after the other. */
+    private static final long REST_MICROS = 5_000_000;
+
     private final World world;
     private final Reservations reservations;
     private final Map<TeamUse, Turn> turns = new HashMap<>();
     /** Jobs that had a turn and could not begin, and until when they have no other. */
     private final Map<Job, Long> passed = new HashMap<>();
+    /** When the last turn of each team ended. */
+    private final Map<TeamUse, Long> endedMicros = new HashMap<>();
 
     private record Turn(Job job, long sinceMicros) {
     }
@@ -48,11 +53,15 @@
                 world.note("job " + turn.job.uid() + " could not begin in " + TURN_MICROS / 1_000_000 + " s in which the limit of team "
                         + turn.job.team.team.name() + " was left to it");
             }
-            return over || !waits(turn.job);
+            boolean ended = over || !waits(turn.job);
+            if (ended) {
+                endedMicros.put(turn.job.team, world.nowMicros);
+            }
+            return ended;
         });
         Map<TeamUse, Job> next = new HashMap<>();
         for (Job job : world.jobs.values()) {
-            if (!turns.containsKey(job.team) && waits(job) && !passed.containsKey(job)
+            if (!turns.containsKey(job.team) && !rests(job.team) && waits(job) && !passed.containsKey(job)
                     && world.nowMicros - job.sinceMicros() > PATIENCE_MICROS && job.allowed() < needed(job)
                     && !reservations.heldForOthers(job)) {
                 next.merge(job.team, job, (a, b) -> b.sinceMicros() < a.sinceMicros() ? b : a);
@@ -65,6 +74,10 @@
         }
     }
 
+    private boolean rests(TeamUse team) {
+        return world.nowMicros - endedMicros.getOrDefault(team, Long.MIN_VALUE / 2) < REST_MICROS;
+    }
+
     /** What replicas use does not come free by itself: where they leave too little, there is nothing to wait for. */
     private void begin(TeamUse team, Job job) {
         Room replicas = Room.NONE;
--- a/src/test/java/org/woadloom/core/teams/ClassSharesTest.java
+++ b/src/test/java/org/woadloom/core/teams/ClassSharesTest.java
@@ -89,6 +89,25 @@
         assertEquals(2, array.allowed());
     }
 
+    /** A class whose jobs find no machine, though the limit has room for them, keeps nobody waiting for long. */
+    @Test
+    void aShareThatFindsNoMachineGoesToOthers() {
+        Job service = fixture.ofClass("j-1", "web", 40, true);
+        Job array = fixture.job("j-2", 8, 1, 3);
+        place(service, 0, 16);
+        shares.update();
+        assertEquals(0, service.allowed());
+        fixture.world.nowMicros += 46_000_000;
+        shares.update();
+        assertEquals(8, service.allowed());
+        place(service, 16, 24);
+        shares.update();
+        service.remove(service.placement(0));
+        shares.update();
+        assertEquals(0, service.allowed(), "what comes free is kept again until it is enough for the other class");
+        assertEquals(0, array.allowed());
+    }
+
     @Test
     void theLogTellsOfATeamThatAsksForMoreThanItsLimitOnceAMinute() {
         fixture.ofClass("j-1", "web", 40, true);
--- a/src/test/java/org/woadloom/core/teams/LimitTurnsTest.java
+++ b/src/test/java/org/woadloom/core/teams/LimitTurnsTest.java
@@ -125,6 +125,31 @@
         assertEquals(0, large.allowed());
     }
 
+    /** Two that find no machine would keep a part of the limit from all others by turns, for ever. */
+    @Test
+    void nobodyWaitsForOneTurnAfterTheOther() {
+        nibble();
+        fixture.job("j-1", 8, 1, 1);
+        fixture.job("j-2", 8, 1, 1);
+        fixture.world.nowMicros += 105_000_000;
+        turns.update();
+        Job ended = running()[0];
+        ended.remove(ended.placement(0));
+        fixture.world.jobs.remove(ended.uid());
+        Job small = fixture.job("j-small", 1, 1, 1);
+        int waitedS = 0;
+        int longestS = 0;
+        int turnsS = 0;
+        for (int second = 0; second < 400; second++) {
+            fixture.world.nowMicros += 1_000_000;
+            turns.update();
+            waitedS = small.allowed() > 0 ? 0 : waitedS + 1;
+            turnsS += small.allowed() > 0 ? 0 : 1;
+            longestS = Math.max(longestS, waitedS);
+        }
+        assertTrue(longestS < 70 && turnsS > 200, longestS + " s at a time, " + turnsS + " s in all");
+    }
+
     /** A largest job that keeps being late would make way for whatever can still be in time. */
     @Test
     void withAgeTheLargestGoBeforeTheOthersOfTheirKind() {
