Stand-ins tell which machine has a task and how much of a machine is free

For tests that look for jobs that wait although a machine has room and their team is below its limit, three small ways of asking: Truth.machineOf, Truth.used and WorkerStandIn.free.

--- a/src/test/java/org/woadloom/sim/Truth.java
+++ b/src/test/java/org/woadloom/sim/Truth.java
@@ -137,7 +137,12 @@
         return false;
     }
 
-    private double used(String crew) {
+    /** The machine that has the task, or null. */
+    WorkerStandIn machineOf(TaskId task) {
+        return on.get(task);
+    }
+
+    double used(String crew) {
         double cpus = 0;
         for (TaskId running : on.keySet()) {
             JobDescription job = submitted.get(running.uid());
--- a/src/test/java/org/woadloom/sim/WorkerStandIn.java
+++ b/src/test/java/org/woadloom/sim/WorkerStandIn.java
@@ -223,6 +223,15 @@
         }
     }
 
+    /** How many processors no task of its holds. */
+    double free() {
+        double free = vcpus;
+        for (Task task : tasks.values()) {
+            free -= task.status.equals("exited") ? 0 : world.truth.submitted.get(task.id.uid()).vcpus();
+        }
+        return free;
+    }
+
     private void launch(TaskId id, long attempt, Task present) {
         if (present != null && present.attempt == attempt) {
             return;
