--- /dev/null
+++ b/src/test/java/org/woadloom/sim/WaitingJobs.java
@@ -0,0 +1,75 @@
+package org.woadloom.sim;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.woadloom.wire.JobDescription;
+import org.woadloom.wire.TaskId;
+
+/** No job is left waiting while a machine that fits has room for a task of it and its team is below its limit. */
+final class WaitingJobs {
+    private static final long EVERY_MICROS = 1_000_000;
+    private static final long LONGEST_MICROS = 90_000_000;
+
+    private final World world;
+    private final long fromMicros;
+    private final Map<String, Long> sinceMicros = new HashMap<>();
+    /** How often a job was found waiting so. */
+    int seen;
+    /** The longest that any has waited so, without a break. */
+    long longestMicros;
+
+    /** @param fromMicros when the last trouble is over */
+    WaitingJobs(World world, long fromMicros) {
+        this.world = world;
+        this.fromMicros = fromMicros;
+        look();
+    }
+
+    private void look() {
+        for (String uid : world.truth.acceptedJobs()) {
+            if (world.truth.isOver(uid) || !couldRun(world.truth.submitted.get(uid))) {
+                sinceMicros.remove(uid);
+                continue;
+            }
+            long now = world.loop.now();
+            long waited = now - Math.max(fromMicros, sinceMicros.computeIfAbsent(uid, u -> now));
+            seen++;
+            longestMicros = Math.max(longestMicros, waited);
+            if (waited > LONGEST_MICROS) {
+                throw new Violation("left_waiting", uid + " of " + world.truth.submitted.get(uid).crew() + " has waited for "
+                        + waited / 1_000_000 + " s while a machine has room");
+            }
+        }
+        world.loop.after(EVERY_MICROS, this::look);
+    }
+
+    private boolean couldRun(JobDescription job) {
+        int waiting = 0;
+        Map<String, Integer> placed = new HashMap<>();
+        for (int i = 0; i < job.shards(); i++) {
+            TaskId task = new TaskId(job.uid(), i);
+            WorkerStandIn machine = world.truth.machineOf(task);
+            waiting += machine == null && !world.truth.isDone(task) ? 1 : 0;
+            if (machine != null) {
+                placed.merge(machine.yard, 1, Integer::sum);
+            }
+        }
+        int together = job.gang() ? waiting : 1;
+        double needed = together * job.vcpus();
+        if (waiting == 0 || world.truth.used(job.crew()) + needed > world.settings.team(job.crew()).cpusMax() + 1e-6) {
+            return false;
+        }
+        Map<String, Integer> room = new HashMap<>();
+        for (WorkerStandIn machine : world.workers()) {
+            String yard = machine.yard;
+            boolean fits = !machine.dead && (job.yard() == null || job.yard().equals(yard))
+                    && (job.hosttypes() == null || job.hosttypes().contains(machine.hosttype)) && (job.reclaimable() || !machine.reclaimable)
+                    && (!job.samePlace() || placed.isEmpty() || placed.containsKey(yard))
+                    && (!job.apart() || placed.getOrDefault(yard, 0) < (job.shards() + 1) / 2);
+            if (fits) {
+                room.merge(job.samePlace() ? yard : "", (int) (machine.free() / job.vcpus() + 1e-9), Integer::sum);
+            }
+        }
+        return room.values().stream().anyMatch(count -> count >= together);
+    }
+}
