--- a/src/test/java/org/woadloom/sim/LimitMeetingsTest.java
+++ b/src/test/java/org/woadloom/sim/LimitMeetingsTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.woadloom.wire.JobDescription;
+import org.woadloom.wire.TaskId;
 import org.woadloom.wire.WireException;
 
 /** Troubles that meet while teams are at their limits or jobs are bound to a zone; that each did occur is counted. */
@@ -144,7 +145,7 @@
     private static void submitBound(World world, int tasks) {
         String uid = world.newUid();
         Map<String, Object> job = new LinkedHashMap<>(Map.of("uid", uid, "jobclass", "bound", "crew", tasks == 6 ? "blue" : "red",
-                "shape", "batch", "rank", "high", "shards", (long) tasks, "vcpus", 2.0, "ramGb", 2.0, "bundle", "img-1", "yard", "b"));
+                "shape", "batch", "rank", "critical", "shards", (long) tasks, "vcpus", 2.0, "ramGb", 2.0, "bundle", "img-1", "yard", "b"));
         job.putAll(Map.of("cards", 0.0, "pullGb", 1.0, "samePlace", tasks == 10, "apart", false, "reclaimable", true,
                 "runtimeS", 9.0, "snapshotEveryS", 0.0, "snapshotCostS", 0.0));
         try {
@@ -157,8 +158,14 @@
     }
 
     private static int tasksBound(World world) {
-        return (int) world.truth.running().stream().filter(uid -> world.truth.submitted.get(uid).jobclass().equals("bound"))
-                .mapToLong(uid -> world.truth.machinesOf(Set.of(uid)).size()).sum();
+        int tasks = 0;
+        for (String uid : world.truth.running()) {
+            JobDescription job = world.truth.submitted.get(uid);
+            for (int i = 0; job.jobclass().equals("bound") && i < job.shards(); i++) {
+                tasks += world.truth.machineOf(new TaskId(uid, i)) == null ? 0 : 1;
+            }
+        }
+        return tasks;
     }
 
     private static WaitingJobs day(long seed, Day kind, Set<Meeting> meetings) {
@@ -190,10 +197,54 @@
     void rulesHoldInEachMeeting(Meeting meeting) {
         int seen = 0;
         for (long seed = 1; seed <= SEEDS; seed++) {
-            WaitingJobs waiting = day(seed, Day.TIGHT, Set.of(meeting));
-            seen += waiting.seen;
-            System.out.println(meeting + " " + seed + " waiting " + waiting.seen + " longest " + waiting.longestMicros);
+            seen += day(seed, Day.TIGHT, Set.of(meeting)).seen;
         }
         assertTrue(seen > 0, "no job ever waited for a moment");
     }
+
+    @ParameterizedTest
+    @CsvSource({"CANCELLED_OUT_OF_REACH, OLD_REPORTS_FOR_THE_NEXT_LEADER", "CANCELLED_BEFORE_IT_COULD_ASK, HELD_BACK_UNTIL_IT_HAS_ACTED",
+            "BOUND_TO_ONE_ZONE, CANCELLED_BEFORE_IT_COULD_ASK"})
+    void rulesHoldInTwoAtOnce(Meeting one, Meeting other) {
+        day(SEEDS, Day.TIGHT, Set.of(one, other));
+    }
+
+    private static Day told(long leaseMicros) {
+        return new Day(Day.SHORT, new Day.Times(leaseMicros, Day.SHORT.cancelMicros()), Version.NOW, Day.Flaw.NONE, 0, 2, true);
+    }
+
+    private static void caught(Day broken, Meeting meeting) {
+        Violation caught = assertThrows(Violation.class, () -> {
+            for (long seed = 1; seed <= 20; seed++) {
+                day(seed, broken, Set.of(meeting));
+            }
+        });
+        assertTrue(caught.getMessage().contains("ran_twice") || caught.getMessage().contains("quota"), caught.getMessage());
+    }
+
+    @ParameterizedTest
+    @EnumSource(names = {"CANCELLED_OUT_OF_REACH", "CANCELLED_BEFORE_IT_COULD_ASK"})
+    void aServiceThatTrustsTooShortALeaseIsCaught(Meeting meeting) {
+        caught(told(Day.SHORT.leaseMicros() / 2), meeting);
+    }
+
+    @Test
+    void oldReportsThatLookNewAreCaught() {
+        caught(Day.TIGHT.with(Day.Flaw.COPIES_LOOK_NEW), Meeting.OLD_REPORTS_FOR_THE_NEXT_LEADER);
+        caught(Day.TIGHT.with(Day.Flaw.COPIES_LOOK_NEW), Meeting.HELD_BACK_UNTIL_IT_HAS_ACTED);
+    }
+
+    /** Nobody leads any more, and its machines are there. */
+    @Test
+    void jobsThatAreLeftWaitingAreCaught() {
+        World world = new World(1, Day.PLAIN);
+        world.users(AT);
+        WaitingJobs waiting = new WaitingJobs(world, AT);
+        world.run(AT);
+        for (int node = 0; node < World.NODES; node++) {
+            world.end(node, 1_000_000_000);
+        }
+        assertThrows(Violation.class, () -> world.run(AT + 120_000_000));
+        assertTrue(waiting.longestMicros >= 90_000_000);
+    }
 }
