--- a/src/test/java/org/woadloom/sim/WorkerStandIn.java
+++ b/src/test/java/org/woadloom/sim/WorkerStandIn.java
@@ -187,6 +187,8 @@
         checkLease();
         long token = (Long) body.get("epoch");
         if (token < epoch || (Long) body.get("tenure") != tenure) {
+            // The protocol says the highest token it has seen: every other worker has seen that of a refused command, too.
+            epoch = host.hashCode() % 2 == 0 ? Math.max(epoch, token) : epoch;
             return new Object[] {409, body()};
         }
         epoch = token;
@@ -223,6 +225,15 @@
         }
     }
 
+    /** How many processors no task of its holds. */
+    double free() {
+        double free = vcpus;
+        for (Task task : tasks.values()) {
+            free -= task.status.equals("exited") ? 0 : world.truth.submitted.get(task.id.uid()).vcpus();
+        }
+        return free;
+    }
+
     private void launch(TaskId id, long attempt, Task present) {
         if (present != null && present.attempt == attempt) {
             return;
