A machine that was up under an earlier leader and does not find the new one counts as coming no longer than a lease

Cause: Capacity.comes took every machine that this leader had not heard for room that comes, for four boot times and half a minute (150 s in the test) also where its record says that it was up; one that the cloud had taken meanwhile kept work waiting for as long. Change: a worker finds a new leader within a lease; after that such a machine is no supply, and it is given up as one that was heard. A zone in which two thirds of those say nothing is dark for the new leader too, so that nothing is rented in a zone that is cut off. How many of a zone are deaf is counted only where a machine is deaf: it was a walk over all machines for each of them.

--- a/src/main/java/org/woadloom/core/capacity/Capacity.java
+++ b/src/main/java/org/woadloom/core/capacity/Capacity.java
@@ -185,6 +185,10 @@
     }
 
     private boolean comes(Machine machine) {
+        if (!machine.heard() && machine.upRecorded && silence(machine) > world.care.leaseOverMicros()) {
+            // It was up under an earlier leader, and its worker would have found this one by now.
+            return false;
+        }
         if (!machine.heard() || !machine.recorded || !machine.acknowledged()) {
             return !outOfHearing(machine, 0);
         }
@@ -322,7 +326,7 @@
                 machine.leave();
                 machine.abandoned = true;
                 world.note("machine " + machine.host + " is given up: silent, with work on it");
-            } else if (outOfHearing(machine, manyDeafIn(machine.yard) ? MANY_DEAF_MICROS : DEAF_MICROS)) {
+            } else if (outOfHearing(machine, DEAF_MICROS) && (outOfHearing(machine, MANY_DEAF_MICROS) || !manyDeafIn(machine.yard))) {
                 machine.leave();
                 machine.abandoned = true;
                 world.note("machine " + machine.host + " is given up: it reports, and nothing reaches it");
@@ -423,7 +427,7 @@
     private boolean lost(Machine machine) {
         // In a zone that is cut off leases may be renewed by a node there, and the machines come back with their work.
         long over = world.care.leaseOverMicros() + world.warrants.patienceMicros(machine.yard, world.nowMicros);
-        if (!machine.heard()) {
+        if (!machine.heard() && !(machine.empty() && machine.upRecorded)) {
             return !machine.empty() && silence(machine) > over + 2_000_000;
         }
         return silence(machine) > over + 20_000_000 + (zones.dark(machine.yard) ? DARK_MICROS : 0);
--- a/src/main/java/org/woadloom/core/capacity/DarkZones.java
+++ b/src/main/java/org/woadloom/core/capacity/DarkZones.java
@@ -28,7 +28,7 @@
         Map<String, Integer> all = new HashMap<>();
         Map<String, Integer> silent = new HashMap<>();
         for (Machine machine : world.machines.values()) {
-            if (machine.heard() && !machine.deleted && !machine.leaving) {
+            if ((machine.heard() || machine.upRecorded) && !machine.deleted && !machine.leaving) {
                 all.merge(machine.yard, 1, Integer::sum);
                 silent.merge(machine.yard, silent(machine) ? 1 : 0, Integer::sum);
             }
@@ -53,7 +53,9 @@
     }
 
     private boolean silent(Machine machine) {
-        return saysNothing(machine) > 3 * world.settings.reportMicros() + MARGIN_MICROS;
+        // A worker finds a new leader within a lease.
+        return saysNothing(machine) > (machine.heard() ? 3 * world.settings.reportMicros() + MARGIN_MICROS
+                : world.care.leaseOverMicros());
     }
 
     /** For how long. A deaf worker's reports are rare and may be old, but its work runs on until its lease is over. */
--- a/src/test/java/org/woadloom/core/capacity/CapacityTest.java
+++ b/src/test/java/org/woadloom/core/capacity/CapacityTest.java
@@ -5,11 +5,14 @@
 import static org.woadloom.core.LeaderFixture.SECOND;
 import static org.woadloom.core.LeaderFixture.message;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.woadloom.core.Command;
 import org.woadloom.core.Effect;
 import org.woadloom.core.LeaderFixture;
+import org.woadloom.state.MachineRecord;
+import org.woadloom.wire.TaskReport;
 
 /** A cloud that takes few calls a second: each has to count. Two tasks of 8 CPUs fill a machine; the team's limit is 200. */
 class CapacityTest {
@@ -95,4 +98,52 @@
         leader.pass(SECOND);
         assertTrue(leader.noted("zone a is dark no more"));
     }
+
+    /** It was up under an earlier leader and is gone: for four boot times it used to count as room that comes. */
+    @Test
+    void whatWasUpAndDoesNotFindTheNewLeaderIsNotWaitedFor() {
+        leader.step(new Command.Lead(LeaderFixture.TERM + 1, List.of(), List.of(new Command.StoredMachine(new MachineRecord(
+                "host-000001", "m16", "a", false, false, new MachineRecord.Life(leader.now - 900 * SECOND, true)), 50)), leader.now));
+        leader.submit("j-1", 2);
+        leader.pass(10 * SECOND);
+        assertEquals(0, rentals().size(), "it may come yet");
+        leader.pass(2 * SECOND);
+        assertEquals(1, rentals().size());
+        leader.pass(25 * SECOND);
+        assertEquals(List.of("host-000001"), leader.last(Effect.Delete.class).hosts());
+    }
+
+    /** A zone of which a new leader hears nothing may be cut off: nothing is rented there, and what is there may come back. */
+    @Test
+    void aNewLeaderRentsNothingInAZoneOfWhichItHearsNothing() {
+        List<Command.StoredMachine> stored = new ArrayList<>();
+        for (int i = 1; i <= 4; i++) {
+            stored.add(new Command.StoredMachine(new MachineRecord("host-00000" + i, "m16", "a", false, false,
+                    new MachineRecord.Life(leader.now - 900 * SECOND, true)), 50 + i));
+        }
+        leader.step(new Command.Lead(LeaderFixture.TERM + 1, List.of(), stored, leader.now));
+        leader.submit("j-1", 2);
+        leader.pass(50 * SECOND);
+        assertTrue(rentals().size() > 0 && rentals().stream().allMatch(rent -> rent.yard().equals("b")), "" + rentals());
+        assertEquals(List.of(), leader.all(Effect.Delete.class));
+    }
+
+    /** The list lags, and may be older than the one before: machines that are missing in it are as they were. */
+    @Test
+    void whatTheListLacksIsNotTakenForGone() {
+        long token = leader.isUp("host-000001", 1);
+        leader.submit("j-1", 2);
+        leader.pass(100_000);
+        Effect.SendDirect sent = leader.last(Effect.SendDirect.class);
+        leader.answered(message("host-000001", 1, 5, token, sent.orders().stream().map(order -> new TaskReport(order.task(),
+                order.attempt(), TaskReport.State.RUNNING, null, false)).toArray(TaskReport[]::new)));
+        for (int i = 0; i < 30; i++) {
+            leader.step(new Command.MachinesListed(List.of()));
+            leader.report(message("host-000001", 1, 6 + i, token, sent.orders().stream().map(order -> new TaskReport(order.task(),
+                    order.attempt(), TaskReport.State.RUNNING, null, false)).toArray(TaskReport[]::new)));
+            leader.pass(SECOND);
+        }
+        assertEquals(2, sent.orders().size());
+        assertTrue(!leader.noted("is gone from") && rentals().isEmpty() && leader.all(Effect.Delete.class).isEmpty());
+    }
 }
