Commands to workers that did not answer the last one take half of the connections at most

Cause: WorkerClient sent direct commands in the order in which they came, on a tenth of a node's sockets; where many machines hang at once, each of their commands holds its connection for 2 s, is repeated 2 s later, and commands to all others wait behind them. Change: commands to workers that gave no answer to the last one wait in a queue of their own, go after the others, and take half of the connections at most.

--- a/src/main/java/org/woadloom/worker/WorkerClient.java
+++ b/src/main/java/org/woadloom/worker/WorkerClient.java
@@ -3,8 +3,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.woadloom.core.Command;
 import org.woadloom.core.Effect;
 import org.woadloom.net.HttpTransport;
@@ -13,14 +15,25 @@
 import org.woadloom.wire.WireException;
 import org.woadloom.wire.WorkerReport;
 
-/** Direct commands to workers. */
+/**
+ * Direct commands to workers. Those to workers that did not answer the last one take half of the connections at most, and go
+ * after the others: where many machines hang at once, each of them holds a connection for as long as an answer is waited for.
+ */
 public final class WorkerClient {
     private static final long TIMEOUT_MICROS = 2_000_000;
+    private static final int MOST_REMEMBERED = 10_000;
 
     private final HttpTransport transport;
     private final int mostInFlight;
-    private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
+    private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
+    private final ArrayDeque<Waiting> toSilent = new ArrayDeque<>();
     private int inFlight;
+    private int silentInFlight;
+    /** Addresses that gave no answer to the last command, the longest silent first; what is gone drops out in time. */
+    private final Set<String> silent = new LinkedHashSet<>();
+
+    private record Waiting(Effect.SendDirect send, Callback callback) {
+    }
 
     public interface Callback {
         void result(Command.DirectResult result);
@@ -33,25 +46,43 @@
     }
 
     public void send(Effect.SendDirect send, Callback callback) {
-        waiting.addLast(() -> request(send, callback));
+        (silent.contains(send.addr()) ? toSilent : waiting).addLast(new Waiting(send, callback));
         pump();
     }
 
     private void pump() {
         while (inFlight < mostInFlight && !waiting.isEmpty()) {
-            inFlight++;
-            waiting.pollFirst().run();
+            begin(waiting.pollFirst(), false);
+        }
+        while (inFlight < mostInFlight && silentInFlight < Math.max(1, mostInFlight / 2) && !toSilent.isEmpty()) {
+            begin(toSilent.pollFirst(), true);
         }
     }
 
-    private void request(Effect.SendDirect send, Callback callback) {
+    private void begin(Waiting next, boolean wasSilent) {
+        inFlight++;
+        silentInFlight += wasSilent ? 1 : 0;
+        request(next.send, wasSilent, next.callback);
+    }
+
+    private void ended(Effect.SendDirect send, boolean wasSilent, int status) {
+        inFlight--;
+        silentInFlight -= wasSilent ? 1 : 0;
+        if (status != HttpTransport.NO_RESPONSE) {
+            silent.remove(send.addr());
+        } else if (silent.add(send.addr()) && silent.size() > MOST_REMEMBERED) {
+            silent.remove(silent.iterator().next());
+        }
+        pump();
+    }
+
+    private void request(Effect.SendDirect send, boolean wasSilent, Callback callback) {
         Map<String, Object> map = new LinkedHashMap<>();
         map.put("epoch", send.epoch());
         map.put("tenure", send.tenure());
         map.put("orders", orders(send.orders()));
         transport.request(send.addr(), "POST", "/do", Cbor.encode(map), TIMEOUT_MICROS, (status, body) -> {
-            inFlight--;
-            pump();
+            ended(send, wasSilent, status);
             WorkerReport report = null;
             if (status == 200 || status == 409) {
                 try {
