--- /dev/null
+++ b/src/test/java/org/woadloom/core/ClosedInWorkersTest.java
@@ -0,0 +1,74 @@
+package org.woadloom.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.woadloom.core.LeaderFixture.SECOND;
+import static org.woadloom.core.LeaderFixture.message;
+
+import org.junit.jupiter.api.Test;
+import org.woadloom.wire.Order;
+import org.woadloom.wire.TaskReport;
+
+/** A worker that can't open connections to any node, while commands reach it and are answered; its lease is 10 s. */
+class ClosedInWorkersTest {
+    private static final String HOST = "host-000001";
+
+    private final LeaderFixture leader = new LeaderFixture(HOST);
+    private long token;
+    private TaskReport task;
+    private long answered;
+    private long tick = 10;
+    private int seen;
+
+    /** It has a task, and its last report is answered now. */
+    private void isClosedIn() {
+        token = leader.isUp(HOST, 1);
+        leader.submit("j-000001", 1);
+        leader.pass(100_000);
+        Order launch = leader.last(Effect.SendDirect.class).orders().get(0);
+        task = new TaskReport(launch.task(), launch.attempt(), TaskReport.State.RUNNING, null, false);
+        leader.answered(message(HOST, 1, ++tick, token, task));
+        leader.report(message(HOST, 1, ++tick, token, task));
+        answered = leader.now;
+        seen = leader.all(Effect.SendDirect.class).size();
+    }
+
+    /** Returns how many tasks it was sent until then. */
+    private int until(long micros) {
+        int launches = 0;
+        while (leader.now < answered + micros) {
+            leader.pass(100_000);
+            for (; seen < leader.all(Effect.SendDirect.class).size(); seen++) {
+                Effect.SendDirect sent = leader.all(Effect.SendDirect.class).get(seen);
+                launches += (int) sent.orders().stream().filter(order -> order.verb() == Order.Verb.LAUNCH).count();
+                leader.step(new Command.DirectResult(sent.sendId(), HOST, 200, message(HOST, 1, ++tick, sent.epoch(), task)));
+            }
+        }
+        return launches;
+    }
+
+    /** What it were sent now would be killed as its lease ends, however well it answers. */
+    @Test
+    void itGetsNoNewWorkAndWhatItHasIsLostWhenItsLeaseIsOver() {
+        isClosedIn();
+        until(4 * SECOND);
+        leader.submit("j-000002", 1);
+        assertEquals(0, until(10 * SECOND));
+        assertTrue(seen > 2, "it was asked how it is");
+        assertFalse(leader.noted("is gone from"), "its lease may not be over");
+        assertEquals(0, until(10_400_000));
+        assertTrue(leader.noted("task " + task.task() + " attempt " + task.attempt() + " is gone from " + HOST + ": the lease is over"));
+        assertEquals(0, until(30 * SECOND));
+    }
+
+    /** Its answers tell of the end of its task. */
+    @Test
+    void theEndOfItsTaskIsLearntFromItsAnswers() {
+        isClosedIn();
+        until(2 * SECOND);
+        task = new TaskReport(task.task(), task.attempt(), TaskReport.State.EXITED, TaskReport.Cause.DONE, false);
+        until(6 * SECOND);
+        assertEquals(1, leader.all(Effect.FinishJob.class).size());
+    }
+}
--- a/src/test/java/org/woadloom/sim/CloudStandIn.java
+++ b/src/test/java/org/woadloom/sim/CloudStandIn.java
@@ -18,6 +18,10 @@
     private List<Object> shown = new ArrayList<>();
     private int names;
     boolean down;
+    /** How many of a hundred rentals and deletions are carried out late, and get no answer. */
+    int lateOfHundred;
+    final List<String> unexpected = new ArrayList<>();
+    int deletedForOthers;
     /** Until then machines are up within two seconds, some of them before their rental is answered. */
     long quickUntil;
 
@@ -53,6 +57,25 @@
     }
 
     void handle(String method, String path, Map<String, Object> body, StateStandIn.Answer answer) {
+        if (method.equals("POST") && lateOfHundred > 0 && more.nextInt(100) < lateOfHundred) {
+            long term = world.term();
+            world.loop.after(2_000_000 + more.nextInt(18_000_000), () -> carryOutLate(path, body, term));
+        } else {
+            carryOut(method, path, body, answer);
+        }
+    }
+
+    private void carryOutLate(String path, Map<String, Object> body, long term) {
+        int before = machines.size();
+        carryOut("POST", path, body, (status, hosts) -> {
+            if (status == 200 && world.term() != term && hosts.get("hosts") instanceof List<?> rented) {
+                rented.stream().filter(booting::containsKey).forEach(host -> unexpected.add((String) host));
+            }
+        });
+        deletedForOthers += world.term() != term ? before - machines.size() : 0;
+    }
+
+    private void carryOut(String method, String path, Map<String, Object> body, StateStandIn.Answer answer) {
         if (down) {
             answer.answer(503, Map.of("error", "trouble"));
         } else if (path.equals("/machine_types")) {
--- a/src/test/java/org/woadloom/sim/WorkerStandIn.java
+++ b/src/test/java/org/woadloom/sim/WorkerStandIn.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.woadloom.wire.JobDescription;
 import org.woadloom.wire.TaskId;
 import org.woadloom.wire.WireException;
@@ -46,6 +48,12 @@
     long deafUntil;
     /** Commands reach it until then, and nothing that it says arrives. */
     long muteUntil;
+    /** It can't open connections to any node until then; commands reach it, and their answers arrive. */
+    long closedInUntil;
+    /** Its running tasks that were killed because its lease ended. */
+    int killedByLease;
+    /** Tasks that began here. */
+    int started;
     /** The highest token that it was sent, whether it arrived or not. */
     long tokenSent;
 
@@ -103,10 +111,22 @@
         return world.loop.now() < muteUntil;
     }
 
+    boolean closedIn() {
+        return world.loop.now() < closedInUntil;
+    }
+
+    /** The tasks that run here. */
+    Set<TaskId> running() {
+        Set<TaskId> running = new LinkedHashSet<>();
+        tasks.values().stream().filter(task -> task.status.equals("running")).forEach(task -> running.add(task.id));
+        return running;
+    }
+
     private void checkLease() {
         if (world.loop.now() - leaseFrom > world.settings.workers().leaseMicros()) {
             for (Task task : tasks.values()) {
                 world.truth.killedByLease += task.status.equals("running") ? 1 : 0;
+                killedByLease += task.status.equals("running") ? 1 : 0;
                 world.truth.ended(task.id, this, false);
             }
             tasks.clear();
@@ -267,6 +287,7 @@
             return;
         }
         world.truth.started(task.id, this);
+        started++;
         task.status = "running";
         changed = true;
         if (!job.service()) {
--- a/src/test/java/org/woadloom/sim/World.java
+++ b/src/test/java/org/woadloom/sim/World.java
@@ -498,7 +498,7 @@
             loop.after(timeout, () -> callback.answer(HttpTransport.NO_RESPONSE, Map.of()));
             return;
         }
-        if (worker != null && worker.mute()) {
+        if (worker != null && (worker.mute() || worker.closedIn())) {
             loop.after(timeout, () -> callback.answer(HttpTransport.NO_RESPONSE, Map.of()));
             return;
         }
@@ -1163,6 +1163,22 @@
         }
     }
 
+    /** So many of a hundred rentals and deletions get no answer and are carried out seconds later, perhaps after their leader. */
+    void cloudLate(int ofHundred, long forMicros) {
+        cloud.lateOfHundred = ofHundred;
+        loop.after(forMicros, () -> cloud.lateOfHundred = 0);
+    }
+
+    /** Machines that were rented when the leader that had asked for them led no more. */
+    List<String> unexpectedMachines() {
+        return cloud.unexpected;
+    }
+
+    /** Machines that were deleted when the leader that had asked for it led no more. */
+    int deletedForOthers() {
+        return cloud.deletedForOthers;
+    }
+
     private void anyWorker(java.util.function.Consumer<WorkerStandIn> what) {
         List<WorkerStandIn> workers = new ArrayList<>(cloud.machines.values());
         if (!workers.isEmpty()) {
