--- a/src/test/java/org/woadloom/sim/CancellationGapTest.java
+++ b/src/test/java/org/woadloom/sim/CancellationGapTest.java
@@ -148,7 +148,9 @@
             world.trouble = 0;
             world.servicesStay = true;
             world.users(AT);
-            world.pipelines(AT);
+            for (int chain = 0; chain < 3; chain++) {
+                world.pipelines(AT);
+            }
             world.run(AT);
             refusedThenDown(world, 300_000);
             world.run(AT + REFUSED);
