Unfit jobs ask a cloud that does not answer once a second

Cause: while the cloud does not answer, each submission of a job that fits no known type asked it again, in the queue of calls that the leader's lists wait in. Change: no more than one such call a second, and 503 for the others.

--- a/src/main/java/org/woadloom/http/Admission.java
+++ b/src/main/java/org/woadloom/http/Admission.java
@@ -19,6 +19,8 @@
 final class Admission {
     /** The types change with the settings of the cloud; whoever submits what fits none costs at most a call in so long. */
     private static final long FRESH_MICROS = 10_000_000;
+    /** While the cloud does not answer it is asked again after so long, however many ask: the leader needs its calls. */
+    private static final long AGAIN_MICROS = 1_000_000;
     /** Users wait 5 s for an answer. */
     private static final long PATIENCE_MICROS = 2_000_000;
 
@@ -27,6 +29,7 @@
     private final JobApi.Types types;
     /** When the reading of the types began that was answered last. */
     private long readMicros = Long.MIN_VALUE / 2;
+    private long askedMicros = Long.MIN_VALUE / 2;
     /** What waits for the reading under way. */
     private List<Runnable> waiting = List.of();
 
@@ -65,9 +68,14 @@
             waiting.add(then);
             return;
         }
+        long began = loop.nowMicros();
+        if (began - askedMicros < AGAIN_MICROS) {
+            then.run();
+            return;
+        }
+        askedMicros = began;
         waiting = new ArrayList<>(List.of(then));
         List<Runnable> mine = waiting;
-        long began = loop.nowMicros();
         types.readAnew(answered -> {
             if (answered) {
                 readMicros = Math.max(readMicros, began);
--- a/src/test/java/org/woadloom/sim/UserWritesTest.java
+++ b/src/test/java/org/woadloom/sim/UserWritesTest.java
@@ -218,9 +218,13 @@
         Map<String, Object> job = job(1);
         job.put("hosttypes", List.of("added"));
         offered = null;
-        Asked undecided = submit(job);
-        sim.run(sim.now() + 100_000);
-        assertEquals(503, undecided.response.status());
+        for (int i = 0; i < 10; i++) {
+            Asked undecided = submit(job);
+            sim.run(sim.now() + 90_000);
+            assertEquals(503, undecided.response.status());
+        }
+        assertEquals(1, typesRead, "the cloud is not asked for each of them");
+        sim.run(sim.now() + 200_000);
         offered = List.of(TYPE, ADDED);
         Asked accepted = submit(job);
         Map<String, Object> never = job(2);
