--- a/src/test/java/org/woadloom/sim/Day.java
+++ b/src/test/java/org/woadloom/sim/Day.java
@@ -49,8 +49,12 @@
         ONE_JOB_REFUSED,
         /** Nodes give a submission's missing fields the usual values. */
         FILLS_IN_WHAT_IS_MISSING,
-        /** Nodes that ask what has changed are told that nothing has. */
-        CHANGES_GO_UNSEEN
+        /** Nodes find no record of a job now and then, as if it had not been accepted yet. */
+        UNSEEN_RECORDS,
+        /** Nodes that read what has changed are told now and then what was so when they read it last. */
+        OLD_CHANGES,
+        /** Nodes change what is stored whatever is there. */
+        NO_CONDITIONS
     }
 
     List<String> zoneNames() {
--- a/src/test/java/org/woadloom/sim/UsersMeetingsTest.java
+++ b/src/test/java/org/woadloom/sim/UsersMeetingsTest.java
@@ -98,7 +98,7 @@
 
     @Test
     void nodesThatTellWhatIsOverAreCaught() {
-        String caught = broken(Day.Flaw.CHANGES_GO_UNSEEN, Meeting.END_OF_THE_LAST_TASK);
+        String caught = broken(Day.Flaw.OLD_CHANGES, Meeting.END_OF_THE_LAST_TASK);
         assertTrue(caught.startsWith("went_back"), caught);
     }
 }
