--- a/src/test/java/org/woadloom/core/jobs/TakeoverTest.java
+++ b/src/test/java/org/woadloom/core/jobs/TakeoverTest.java
@@ -100,6 +100,17 @@
         assertEquals(word.proof ? Set.of("j-000002/0", "j-000002/1") : Set.of("j-000002/0"), launched(leader));
     }
 
+    /** It may be minutes old: its worker may be gone, and what its session was is not known. */
+    @Test
+    void nothingStartsWhereOnlyAnOldReportCameFrom() {
+        LeaderFixture leader = new LeaderFixture(200, List.of(placed("j-000001", false)), LOST);
+        leader.report(message(LOST, 1, 50, EARLIER << Hearing.FENCE_BITS));
+        leader.submit("j-000002", 1);
+        leader.passUnanswered(20 * SECOND);
+        assertEquals(Set.of(), launched(leader));
+        assertFalse(leader.noted("the lease of " + LOST) || leader.noted("is gone from"), "nobody knows whether it heard that answer");
+    }
+
     /** The deletion's answer is the proof where the worker is never heard of again, and the team has its room back in time. */
     @Test
     void aTeamGetsBackWhatIsOnAMachineThatIsNeverHeardOfAgain() {
