A machine that is silent and that the list lacks is given up at once, and darkens no zone

Cause: DarkZones counted machines that the cloud had taken without notice as silent ones, so a zone that lost two thirds of its machines at once was taken for cut off, and nothing was rented there for a lease and 70 s, though jobs bound to it waited; a third or more of a zone that was taken at once was given up as late. Change: the list is at most two lags old, and what was listed once is listed until it is gone; a machine that the list has lacked for longer, and of which nothing is heard, is deleted, whose answer is the proof as before, and is no longer counted for its zone. Absence from the list still proves nothing of tasks.

--- a/src/main/java/org/woadloom/core/Core.java
+++ b/src/main/java/org/woadloom/core/Core.java
@@ -223,6 +223,7 @@
             l.machines.unreadable(unreadable.host());
         } else if (command instanceof Command.MachinesListed listed) {
             l.machines.listed(listed.machines());
+            l.capacity.listed(listed.machines());
         } else if (command instanceof Command.Rented rented) {
             l.capacity.rented(rented);
         } else if (command instanceof Command.Deleted deleted) {
--- a/src/main/java/org/woadloom/core/capacity/Capacity.java
+++ b/src/main/java/org/woadloom/core/capacity/Capacity.java
@@ -21,6 +21,7 @@
 import org.woadloom.core.reservation.Reservations;
 import org.woadloom.core.teams.TeamUse;
 import org.woadloom.state.MachineRecord;
+import org.woadloom.wire.ListedMachine;
 import org.woadloom.wire.MachineType;
 
 /** Rents machines for work that finds no room, and returns those that are idle. */
@@ -33,6 +34,7 @@
     private static final long LEAST_CHARGE_MICROS = 55_000_000;
     private static final long SCARCE_MICROS = 60_000_000;
     private static final long SILENCE_MARGIN_MICROS = 1_000_000;
+    private static final long LIST_MARGIN_MICROS = 1_000_000;
     private static final long REPEAT_MICROS = 1_500_000;
     /** A claim is answered within such a time unless the cloud is down. */
     private static final long ANSWER_MICROS = 3_000_000;
@@ -52,6 +54,9 @@
     private final Map<Kind, Long> refusedMicros = new HashMap<>();
     private final DarkZones zones;
     private long reviewedMicros = Long.MIN_VALUE / 2;
+    /** When each machine was last in the list, and when the last list came. */
+    private final Map<String, Long> listedMicros = new HashMap<>();
+    private long listMicros = Long.MIN_VALUE / 2;
 
     /** What can be rented. */
     private record Kind(MachineType type, String yard, boolean reclaimable) {
@@ -94,7 +99,7 @@
         this.placer = placer;
         this.machines = machines;
         this.reservations = reservations;
-        zones = new DarkZones(world);
+        zones = new DarkZones(world, this::unlisted);
     }
 
     public void review() {
@@ -117,6 +122,21 @@
         giveBack();
     }
 
+    public void listed(List<ListedMachine> machines) {
+        listMicros = world.nowMicros;
+        machines.forEach(machine -> listedMicros.put(machine.uid(), listMicros));
+        listedMicros.keySet().retainAll(world.machines.keySet());
+    }
+
+    /**
+     * True where the last list lacks a machine that it would show if it were there: lists are up to two lags old, and one
+     * that was listed once is listed until it is gone. That is no proof that its tasks are gone; its deletion is.
+     */
+    private boolean unlisted(Machine machine) {
+        long there = Math.max(machine.rentedMicros, world.startedMicros);
+        return listMicros - listedMicros.getOrDefault(machine.host, there) > 2 * world.settings.listLagMicros() + LIST_MARGIN_MICROS;
+    }
+
     private void rent(List<Job> queue) {
         List<Supply> supply = new ArrayList<>();
         for (Machine machine : world.machines.values()) {
@@ -185,7 +205,7 @@
     }
 
     private boolean comes(Machine machine) {
-        if (!machine.heard() && machine.upRecorded && silence(machine) > world.care.leaseOverMicros()) {
+        if (!machine.heard() && (machine.upRecorded && silence(machine) > world.care.leaseOverMicros() || unlisted(machine))) {
             // It was up under an earlier leader, and its worker would have found this one by now.
             return false;
         }
@@ -322,7 +342,11 @@
             if (machine.leaving || machine.deleted || !machine.confirmed() || reservations.holdsAny(machine)) {
                 continue;
             }
-            if (silentWithWork(machine)) {
+            if (unlisted(machine) && zones.saysNothing(machine) > 3 * world.settings.reportMicros() + SILENCE_MARGIN_MICROS) {
+                machine.leave();
+                machine.abandoned = true;
+                world.note("machine " + machine.host + " is given up: silent, and no longer listed");
+            } else if (silentWithWork(machine)) {
                 machine.leave();
                 machine.abandoned = true;
                 world.note("machine " + machine.host + " is given up: silent, with work on it");
--- a/src/main/java/org/woadloom/core/capacity/DarkZones.java
+++ b/src/main/java/org/woadloom/core/capacity/DarkZones.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.woadloom.core.World;
 import org.woadloom.core.machines.Machine;
 
@@ -18,22 +19,30 @@
     private static final long MARGIN_MICROS = 1_000_000;
 
     private final World world;
+    private final Predicate<Machine> unlisted;
     private final Map<String, Long> sinceMicros = new HashMap<>();
 
-    DarkZones(World world) {
+    /** @param unlisted true for machines of which the cloud tells that they are gone: their silence tells nothing of the zone */
+    DarkZones(World world, Predicate<Machine> unlisted) {
         this.world = world;
+        this.unlisted = unlisted;
     }
 
     void review() {
         Map<String, Integer> all = new HashMap<>();
         Map<String, Integer> silent = new HashMap<>();
+        Set<String> light = new HashSet<>();
         for (Machine machine : world.machines.values()) {
             if ((machine.heard() || machine.upRecorded) && !machine.deleted && !machine.leaving) {
+                if (unlisted.test(machine) && silent(machine)) {
+                    light.add(machine.yard);
+                    continue;
+                }
                 all.merge(machine.yard, 1, Integer::sum);
                 silent.merge(machine.yard, silent(machine) ? 1 : 0, Integer::sum);
             }
         }
-        Set<String> light = new HashSet<>();
+        light.removeAll(all.keySet());
         all.forEach((yard, count) -> {
             if (count >= FEWEST && silent.get(yard) * 3 > count * 2) {
                 if (sinceMicros.putIfAbsent(yard, world.nowMicros) == null) {
--- a/src/test/java/org/woadloom/core/capacity/CapacityTest.java
+++ b/src/test/java/org/woadloom/core/capacity/CapacityTest.java
@@ -12,6 +12,7 @@
 import org.woadloom.core.Effect;
 import org.woadloom.core.LeaderFixture;
 import org.woadloom.state.MachineRecord;
+import org.woadloom.wire.ListedMachine;
 import org.woadloom.wire.TaskReport;
 
 /** A cloud that takes few calls a second: each has to count. Two tasks of 8 CPUs fill a machine; the team's limit is 200. */
@@ -146,4 +147,44 @@
         assertEquals(2, sent.orders().size());
         assertTrue(!leader.noted("is gone from") && rentals().isEmpty() && leader.all(Effect.Delete.class).isEmpty());
     }
+
+    private static ListedMachine item(String host) {
+        return new ListedMachine(host, host + ":9000", "m16", "a", false, "running", 100 * SECOND);
+    }
+
+    /** The cloud took three of a zone's four machines without notice: no rental there had to wait 80 s for that. */
+    @Test
+    void whatIsSilentAndNoLongerListedIsGivenUpAndDarkensNoZone() {
+        List<ListedMachine> all = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            leader.isUp("host-00000" + i, 1);
+            all.add(item("host-00000" + i));
+        }
+        long token = leader.last(Effect.SendDirect.class).epoch();
+        for (int s = 0; s < 14; s++) {
+            leader.step(new Command.MachinesListed(s < 3 ? all : all.subList(3, 4)));
+            leader.report(message("host-000003", 1, 10 + s, token));
+            leader.passUnanswered(SECOND);
+        }
+        assertTrue(leader.noted("zone a is dark: 3 of 4") && leader.noted("zone a is dark no more"));
+        assertEquals(List.of("host-000000", "host-000001", "host-000002"),
+                leader.all(Effect.Delete.class).stream().flatMap(delete -> delete.hosts().stream()).distinct().sorted().toList());
+        leader.submit("j-1", 10);
+        leader.passUnanswered(SECOND);
+        assertTrue(rentals().stream().anyMatch(rent -> rent.yard().equals("a")), "" + rentals());
+    }
+
+    /** Lists are two lags old and may go back; one that answers is there whatever they show. */
+    @Test
+    void nothingIsGivenUpForBeingUnlistedTooSoonOrWhileItReports() {
+        long token = leader.isUp("host-000001", 1);
+        leader.isUp("host-000002", 1);
+        leader.step(new Command.MachinesListed(List.of(item("host-000001"), item("host-000002"))));
+        for (int s = 0; s < 30; s++) {
+            leader.report(message("host-000001", 1, 10 + s, token));
+            leader.step(new Command.MachinesListed(s < 6 ? List.of() : List.of(item("host-000002"))));
+            leader.passUnanswered(SECOND);
+        }
+        assertTrue(!leader.noted("no longer listed"));
+    }
 }
