A machine that answers commands and can't report is kept until its lease may be over

Cause: Contact asks a silent machine again after half a lease, and Capacity.silentWithWork gave it up when it had said nothing for three reports and a second, which is sooner where a lease is longer than six reports: a machine that had just answered was deleted with its work, although its lease ran on. Change: one that has answered a command since its last report is given up only after the next question had time to be answered.

--- a/src/main/java/org/woadloom/core/capacity/Capacity.java
+++ b/src/main/java/org/woadloom/core/capacity/Capacity.java
@@ -388,8 +388,11 @@
      * can start elsewhere. Where much of a zone is silent at once, the fault is elsewhere, and the machines are left alone.
      */
     private boolean silentWithWork(Machine machine) {
-        if (!machine.up() || zones.saysNothing(machine) < 3 * world.settings.reportMicros() + SILENCE_MARGIN_MICROS
-                || !hasWork(machine)) {
+        // One that answers commands without reporting is asked again half a lease after it was last asked.
+        boolean answers = machine.hearing.aliveMicros() - machine.hearing.reportedMicros() > world.hearingRules.freshMicros();
+        long enough = Math.max(3 * world.settings.reportMicros(), answers ? world.settings.leaseMicros() / 2 + ANSWER_MICROS : 0)
+                + SILENCE_MARGIN_MICROS;
+        if (!machine.up() || zones.saysNothing(machine) < enough || !hasWork(machine)) {
             return false;
         }
         int all = 0;
--- a/src/test/java/org/woadloom/sim/MachineMeetingsTest.java
+++ b/src/test/java/org/woadloom/sim/MachineMeetingsTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.woadloom.wire.TaskId;
 
 /**
@@ -129,6 +130,20 @@
         }
     }
 
+    /** What answers commands is there, and its tasks go on until its lease ends: no machine is given up before. */
+    @ParameterizedTest
+    @ValueSource(ints = {10, 3})
+    void machinesThatAreClosedInForLessThanALeaseAreKept(int oneIn) {
+        for (long seed = 1; seed <= seeds(3); seed++) {
+            World world = day(seed, Day.LONG);
+            int killed = world.truth.killedByLease;
+            List<WorkerStandIn> troubled = befall(world, List.of(OutOfTouch.CLOSED_IN), oneIn, 15_000_000);
+            world.run(AT + 16_000_000);
+            assertEquals(killed, world.truth.killedByLease);
+            assertEquals(0, troubled.stream().filter(worker -> worker.dead).count(), "given up, seed " + seed);
+        }
+    }
+
     /** The checker must be able to fail: a lease that is believed to be over too soon. */
     @Test
     void leasesBelievedTooShortAreCaught() {
