A share that finds no machine is kept for 75 s; a busy team's work gets the time that its limit asks for

Cause: with 45 s ServedTest.aTeamAtItsLimitServesItsArraysBesideServicesThatStay was red (6 arrays done where 12 are asked for): services that stay took the share while the arrays' machines booted. Result: ServedTest green with 75 s.

--- a/src/main/java/org/woadloom/core/teams/ClassShares.java
+++ b/src/main/java/org/woadloom/core/teams/ClassShares.java
@@ -18,7 +18,7 @@
     private static final double DIVIDED = 2.0 / 3;
     private static final long TELL_MICROS = 60_000_000;
     /** A class for which the limit has long had room waits for a machine: meanwhile its share is not kept from the others. */
-    private static final long UNUSED_MICROS = 45_000_000;
+    private static final long UNUSED_MICROS = 75_000_000;
 
     private final World world;
     private final Map<TeamUse, Long> toldMicros = new HashMap<>();
