A node whose election was carried out leads, also where the answer is lost

Cause: Election.take took a transaction without an answer for a lost campaign. The node saw the key name itself, dropped it (leaveToOthers) or campaigned again, and for 2.5 s the others took it for the leader while nobody led. Change: the term that was asked for is remembered until its outcome is known; the key that names this node in that term means that it was won, by the watch at once or by the next look. A conflict after that says that the key is of the process before, in the same term, on a grant that nobody renews: the term is given up. The first renewal goes out with the election.

--- a/src/main/java/org/woadloom/leader/Election.java
+++ b/src/main/java/org/woadloom/leader/Election.java
@@ -67,6 +67,8 @@
     private LeaderKey current;
     private long currentStamp;
     private int campaign;
+    /** The term that this process has asked for, whose outcome it does not know yet; 0 for none. */
+    private long sought;
     /** This process does not campaign before. */
     private long notBeforeMicros = Long.MIN_VALUE / 2;
     /** The highest term ever heard of: a peer may still speak of a leader that is gone. */
@@ -156,6 +158,11 @@
             current = null;
         }
         highestTerm = Math.max(highestTerm, knownTerm());
+        if (role != Role.LEADER && sought == highestTerm && new LeaderKey(label, sought).equals(current)) {
+            // What was asked for was carried out, and its answer is late or lost: others would wait for the grant's end.
+            won(sought, stamp);
+            return;
+        }
         if (current != null && !current.equals(before)) {
             LOG.info("leader is {} in term {}", current.label(), current.term());
             loop.execute(listener::leaderSeen);
@@ -218,6 +225,7 @@
 
     private void campaign() {
         role = Role.CANDIDATE;
+        sought = 0;
         // The key as it is now: whoever takes it meanwhile is not to be deposed by a campaign against another.
         long leaderStamp = current == null ? 0 : currentStamp;
         state.grant(GRANT_MICROS, (result, granted) -> {
@@ -244,6 +252,7 @@
     }
 
     private void take(long leaderStamp, long newTerm, long termStamp) {
+        sought = newTerm;
         Map<String, Object> termValue = new LinkedHashMap<>();
         termValue.put("term", newTerm);
         // Whoever takes a term has read what the stored state requires, and nothing was added to it since.
@@ -251,13 +260,19 @@
                 new Condition(Keys.TERM, termStamp), fence.condition()),
                 List.of(new Change(Keys.LEADER, new LeaderKey(label, newTerm).toMap(), grant),
                         Change.put(Keys.TERM, termValue)), (result, generation, conflicts) -> {
-                    if (result == Result.OK) {
+                    if (sought != newTerm) {
+                        if (result == Result.CONFLICT && role == Role.LEADER && term == newTerm) {
+                            // The key that was seen is of this node's process before, and so is the grant that it hangs on.
+                            stepDown("the term was taken by an earlier process");
+                        }
+                    } else if (result == Result.OK) {
                         won(newTerm, generation);
                     } else {
                         if (conflicts.contains(fence.condition().path())) {
                             fence.changed();
                         }
-                        // Whatever became of it: a later campaign takes a higher term.
+                        // Without an answer it may have been carried out; otherwise a later campaign takes a higher term.
+                        sought = result == Result.UNKNOWN ? newTerm : 0;
                         failed();
                     }
                 });
@@ -279,18 +294,20 @@
 
     private void won(long newTerm, long stamp) {
         role = Role.LEADER;
+        sought = 0;
         term = newTerm;
         highestTerm = Math.max(highestTerm, newTerm);
         current = new LeaderKey(label, newTerm);
         currentStamp = stamp;
         LOG.info("elected in term {}", newTerm);
-        renewLater(newTerm);
+        // The grant may be some seconds old.
+        renewLater(newTerm, 1);
         listener.elected(newTerm, stamp);
         loop.execute(listener::leaderSeen);
     }
 
-    private void renewLater(long ofTerm) {
-        loop.schedule(RENEW_MICROS, () -> {
+    private void renewLater(long ofTerm, long delayMicros) {
+        loop.schedule(delayMicros, () -> {
             if (role != Role.LEADER || term != ofTerm) {
                 return;
             }
@@ -299,7 +316,7 @@
                     stepDown("the grant has ended");
                 }
             });
-            renewLater(ofTerm);
+            renewLater(ofTerm, RENEW_MICROS);
         });
     }
 
