Users hear of cancellations at once where the promise that held them up is known to be over

Cause: a node that led held its own users up for the promise that it had made to itself, up to 15 s after an outage, as nobody ever says of it that it leads no more; a promise to the present leader was not voided by that one's own word of a later term; and that word, like the next vouch, came with a ping 0.7 s later. Change: ToldCancellations keeps one map of who may rely on what, in the place of a set and a map; a node that leads no more says so to itself; terms are told at once to a peer that connects and whenever a leader is seen; the leader is vouched to five times a second while somebody waits. LEAST_MICROS says why it is there, and the rollout's page names no "this version".

--- a/src/main/java/org/woadloom/core/cancellation/ToldCancellations.java
+++ b/src/main/java/org/woadloom/core/cancellation/ToldCancellations.java
@@ -2,11 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /**
  * The cancellations that a node has told of or is about to, and its promises to leaders: it tells of none that the leader
@@ -25,6 +23,8 @@
     private static final long LONG_MICROS = 700_000;
     private static final int MOST_KEPT = 2_000;
     private static final long NEVER = Long.MIN_VALUE / 4;
+    /** Before every term, also that of a node that knows of none. */
+    private static final long NO_TERM = -1;
 
     private final long life;
     /** By job, the first first; no two are of the same moment, nor of that of a vouch. */
@@ -39,11 +39,8 @@
     private long takenMicros = NEVER;
     /** Until when this term's leader may rely on a promise. */
     private long promisedMicros = NEVER;
-    /** The latest promises to leaders of earlier terms, by node. */
-    private final Map<String, Earlier> earlier = new HashMap<>();
-    /** Nodes that may lead and rely on what the process before this one promised, and until when. */
-    private final Set<String> heirs = new HashSet<>();
-    private final long inheritedMicros;
+    /** What nodes may still rely on as leaders of before, by node; this one's own leadership is never among them. */
+    private final Map<String, Reliance> relying = new HashMap<>();
 
     private static final class Entry {
         final long micros;
@@ -54,21 +51,30 @@
         }
     }
 
-    private record Earlier(long term, long untilMicros) {
+    /**
+     * A promise to a leader of before.
+     *
+     * @param term the latest that it may be of, as far as this process knows
+     * @param inherited the process before this one may have given one too, in a term that is not known here
+     */
+    private record Reliance(long term, boolean inherited, long untilMicros) {
+        /** A node says which term it knows of: no word of before a promise ends that. */
+        boolean endsWith(long itsTerm, boolean leads) {
+            return itsTerm > term && !(inherited && leads);
+        }
     }
 
     /** @param peers the other nodes, each of which may have led when the process before this one ended */
     public ToldCancellations(long life, List<String> peers, long nowMicros) {
         this.life = life;
-        heirs.addAll(peers);
+        peers.forEach(peer -> relying.put(peer, new Reliance(NO_TERM, true, nowMicros + SILENT_PROMISE_MICROS)));
         latestMicros = nowMicros;
         completeSinceMicros = nowMicros;
-        inheritedMicros = nowMicros + SILENT_PROMISE_MICROS;
     }
 
     /** Promises are not in use, so the process before this one has given none. */
     public void nothingInherited() {
-        heirs.clear();
+        relying.values().removeIf(Reliance::inherited);
     }
 
     /** The state service says that the job is cancelled, and somebody wants to know. */
@@ -99,20 +105,26 @@
         return entry.told;
     }
 
-    /** Whether any leader of before may rely on a promise, but for the node that leads now and has taken in what is asked about. */
+    /**
+     * Whether any leader of before may rely on a promise, but for the node that leads now and has taken in what is asked
+     * about: whatever it was promised before, it lacks nothing.
+     */
     private boolean reliedOn(long nowMicros, String but) {
-        return nowMicros <= inheritedMicros && heirs.stream().anyMatch(heir -> !heir.equals(but))
-                || earlier.values().stream().anyMatch(promise -> nowMicros <= promise.untilMicros);
+        return relying.entrySet().stream().anyMatch(entry -> !entry.getKey().equals(but) && nowMicros <= entry.getValue().untilMicros);
     }
 
     /** A peer has said which term it knows of and whether it leads in that: one that leads no more relies on nothing. */
     public void heard(String peer, long itsTerm, boolean leads) {
-        if (!leads) {
-            heirs.remove(peer);
+        relying.computeIfPresent(peer, (node, promise) -> promise.endsWith(itsTerm, leads) ? null : promise);
+        if (peer.equals(leader) && itsTerm > term) {
+            promisedMicros = NEVER;
         }
-        Earlier promise = earlier.get(peer);
-        if (promise != null && itsTerm > promise.term) {
-            earlier.remove(peer);
+    }
+
+    /** This node itself has led and does so no more: it relies on nothing, and nobody else would ever say so. */
+    public void ledUntilNow(String self) {
+        if (self.equals(leader)) {
+            promisedMicros = NEVER;
         }
     }
 
@@ -152,7 +164,9 @@
     /** What a new leader has read of the state service may be older than anything that was told: it gets all there is. */
     private void begin(String newLeader, long newTerm, long nowMicros) {
         if (promisedMicros >= nowMicros) {
-            earlier.put(leader, new Earlier(term, promisedMicros));
+            Reliance before = relying.get(leader);
+            relying.put(leader, before == null ? new Reliance(term, false, promisedMicros)
+                    : new Reliance(term, before.inherited, Math.max(before.untilMicros, promisedMicros)));
         }
         leader = newLeader;
         term = newTerm;
--- a/src/main/java/org/woadloom/core/rollout/Feature.java
+++ b/src/main/java/org/woadloom/core/rollout/Feature.java
@@ -24,7 +24,7 @@
     MACHINE_LIFE("machine-life", "machine/ with at and up; earlier versions pass over both", "version 1", 0, true, true,
             Set.of(), Keys.MACHINES, MachineRecord::tellsLife),
     /** Nodes vouch to the leader for the cancellations that they confirm. */
-    CANCELLATION_VOUCHES("cancellation-vouches", "peer frames 18 and 19", "this version", 0, true, false, Set.of(), null, value -> true);
+    CANCELLATION_VOUCHES("cancellation-vouches", "peer frames 18 and 19", "the first version that lists it", 0, true, false, Set.of(), null, value -> true);
 
     private final String key;
     private final String writes;
--- a/src/main/java/org/woadloom/node/Confirmations.java
+++ b/src/main/java/org/woadloom/node/Confirmations.java
@@ -26,8 +26,13 @@
 final class Confirmations implements JobApi.Confirmation {
     private static final Logger LOG = LoggerFactory.getLogger(Confirmations.class);
     private static final long LOOK_MICROS = 50_000;
+    /** While somebody waits the leader is vouched to so often: it may have been loading, or what was said got lost. */
+    private static final long AGAIN_MICROS = 200_000;
     private static final long LOG_MICROS = 10_000_000;
-    /** A leader that is served sees cancellations as late as this; where they have less time no lease can be ended for them. */
+    /**
+     * A leader that is served may be this far behind by its watch alone, so none ever rests sooner: not even where a cancelled
+     * task may stay for little longer than a lease, which then asks for more than any leader can do.
+     */
     private static final long LEAST_MICROS = 5_000_000;
 
     /** The way to the leader, and what it is told. */
@@ -68,6 +73,7 @@
     private boolean on;
     private boolean looking;
     private boolean vouching;
+    private long vouchedMicros = Long.MIN_VALUE / 2;
     private long malformed;
     private long restedMicros = Long.MIN_VALUE / 2;
 
@@ -118,6 +124,9 @@
             loop.schedule(LOOK_MICROS, () -> {
                 looking = false;
                 release();
+                if (!waiting.isEmpty() && loop.nowMicros() - vouchedMicros >= AGAIN_MICROS) {
+                    vouch();
+                }
                 lookLater();
             });
         }
@@ -159,6 +168,7 @@
             return;
         }
         long now = loop.nowMicros();
+        vouchedMicros = now;
         Vouch vouch = told.vouch(leader, carrier.term(), carrier.stateSilentMicros(), now);
         if (vouch == null) {
             return;
@@ -187,6 +197,7 @@
 
     void end() {
         watermark = null;
+        told.ledUntilNow(self);
     }
 
     void heard(String node, Vouch vouch) {
--- a/src/main/java/org/woadloom/node/Node.java
+++ b/src/main/java/org/woadloom/node/Node.java
@@ -128,6 +128,7 @@
 
             @Override
             public void leaderSeen() {
+                peers.sayTerm();
                 // Reports that waited for a leader, or for one that is gone meanwhile, have somewhere to go now.
                 parked.release();
                 mailbox.takeBack().forEach(report -> route(report.body(), report.answer(), report.untilMicros()));
--- a/src/main/java/org/woadloom/node/PeerLinks.java
+++ b/src/main/java/org/woadloom/node/PeerLinks.java
@@ -92,8 +92,7 @@
                 link.connectedInTerm = election.knownTerm();
             }
         }
-        PeerMessage ping = new PeerMessage.Ping(election.knownTerm(), leader == null ? "" : leader, rollout.said());
-        labels.forEach(label -> net.send(label, ping));
+        sayTerm();
         NodeStanding standing = inbox.standing();
         if (standing != null && leader != null) {
             PeerMessage mine = new PeerMessage.Stands(standing);
@@ -109,6 +108,17 @@
         loop.schedule(PING_MICROS, this::ping);
     }
 
+    /** Tells all peers which term this node knows of, at once where that has changed: users may wait for just that. */
+    void sayTerm() {
+        PeerMessage said = term();
+        labels.forEach(label -> net.send(label, said));
+    }
+
+    private PeerMessage term() {
+        String leader = election.leader();
+        return new PeerMessage.Ping(election.knownTerm(), leader == null ? "" : leader, rollout.said());
+    }
+
     private Link link(String label) {
         return links.computeIfAbsent(label, l -> new Link());
     }
@@ -224,6 +234,8 @@
         if (label.equals(election.leader())) {
             link.connectedInTerm = election.knownTerm();
         }
+        // A process that has just begun waits for a word of each.
+        net.send(label, term());
     }
 
     @Override
--- a/src/test/java/org/woadloom/core/cancellation/CancellationWatermarkTest.java
+++ b/src/test/java/org/woadloom/core/cancellation/CancellationWatermarkTest.java
@@ -16,7 +16,7 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * One node that confirms and two leaders, of an earlier and a later term, that both believe to lead, in random orders of
+ * One node that confirms and leaders of up to three terms that all believe to lead, the first of them twice, in random orders of
  * ends, losses, delays, refusals and clocks that drift. After each step neither leader's watermark may have passed a
  * moment at which a user was told of a cancellation that it lacks.
  */
@@ -32,9 +32,9 @@
         long seenMicros;
         boolean steppedDown;
 
-        Leader(long term) {
+        Leader(long term, String label) {
             this.term = term;
-            label = "leader-" + term;
+            this.label = label;
             rate = 1 + (random.nextDouble() - 0.5) / 1000;
             watermark = new CancellationWatermark(term, List.of(label, "node"));
             seesAll();
@@ -80,6 +80,7 @@
     private double nodeRate = 1;
     private long silentSince = -1;
     private int leaderOfNode;
+    private int ledTwice;
     private long lost;
     private boolean chaos = true;
 
@@ -134,7 +135,7 @@
         made.clear();
         toldAt.clear();
         under.clear();
-        List<Leader> leaders = new ArrayList<>(List.of(new Leader(1)));
+        List<Leader> leaders = new ArrayList<>(List.of(new Leader(1, "leader-1")));
         start(leaders);
         int byVouches = 0;
         while (now < 200 * S) {
@@ -149,7 +150,11 @@
                 silentSince = silentSince < 0 ? now : -1;
             }
             if (leaders.size() == 1 && silentSince < 0 && now > 60 * S && random.nextInt(400) == 0) {
-                leaders.add(new Leader(2));
+                leaders.add(new Leader(2, "leader-2"));
+            }
+            if (leaders.size() == 2 && leaders.get(0).steppedDown && silentSince < 0 && random.nextInt(400) == 0) {
+                leaders.add(new Leader(3, "leader-1"));
+                ledTwice++;
             }
             for (Leader leader : leaders) {
                 if (!leader.steppedDown && random.nextInt(60) == 0 && random.nextInt(3) == 0 && silentSince < 0) {
@@ -157,8 +162,9 @@
                 }
                 ToldCancellations hearing = node;
                 boolean leads = !leader.steppedDown;
-                long knownTerm = leads ? leader.term : 2;
-                if (random.nextInt(14) == 0) {
+                long knownTerm = leads ? leader.term : leaders.size();
+                boolean speaks = leaders.stream().noneMatch(other -> other.label.equals(leader.label) && other.term > leader.term);
+                if (speaks && random.nextInt(14) == 0) {
                     send(() -> {
                         if (hearing == node) {
                             node.heard(leader.label, knownTerm, leads);
@@ -166,8 +172,8 @@
                     });
                 }
             }
-            if (leaders.size() == 2 && random.nextInt(600) == 0) {
-                leaders.get(0).steppedDown = true;
+            if (leaders.size() > 1 && random.nextInt(600) == 0) {
+                leaders.get(random.nextInt(leaders.size() - 1)).steppedDown = true;
             }
             if (chaos && random.nextInt(500) == 0) {
                 now += 50_000 + random.nextInt(8_000_000);
@@ -215,6 +221,7 @@
             told += toldAt.size();
         }
         assertTrue(told > 3_000, told + " told");
+        assertTrue(ledTwice > 20, ledTwice + " days on which one node led twice");
         assertTrue(byVouches > 20_000, byVouches + " steps on which vouches counted");
     }
 
@@ -263,6 +270,63 @@
         assertTrue(toldAt > 0 && toldAt < 12 * S, "told at " + toldAt);
     }
 
+    private static ToldCancellations promised(String leader, long stateSilentMicros) {
+        ToldCancellations told = new ToldCancellations(1, List.of(), 0);
+        told.vouch(leader, 3, stateSilentMicros, S);
+        told.enter("j-000001", 2 * S);
+        assertFalse(told.mayTell("j-000001", 2 * S));
+        return told;
+    }
+
+    /** What a node has promised to itself it would hear of from nobody, and its users waited for up to 15 s. */
+    @Test
+    void nobodyWaitsForAPromiseToANodeThatLeadsNoMore() {
+        ToldCancellations itself = promised("self", 20 * S);
+        itself.ledUntilNow("self");
+        assertTrue(itself.mayTell("j-000001", 2 * S));
+        ToldCancellations other = promised("other", 20 * S);
+        other.ledUntilNow("self");
+        other.heard("other", 3, true);
+        assertFalse(other.mayTell("j-000001", 2 * S));
+        other.heard("other", 4, false);
+        assertTrue(other.mayTell("j-000001", 2 * S));
+    }
+
+    /** A node that leads again and has taken in what is asked about lacks nothing, whatever it was promised before. */
+    @Test
+    void nobodyWaitsForAPromiseToANodeThatLeadsAgain() {
+        ToldCancellations told = promised("other", 20 * S);
+        told.vouch("between", 4, 0, 5 * S / 2);
+        Vouch vouch = told.vouch("other", 5, 0, 4 * S);
+        assertFalse(told.mayTell("j-000001", 4 * S + 1));
+        told.taken(new VouchTaken(5, 1, vouch.saidMicros(), 4 * S));
+        assertFalse(told.mayTell("j-000001", 4 * S + 1), "the one between may lead still");
+        told.heard("between", 5, false);
+        assertTrue(told.mayTell("j-000001", 4 * S + 1));
+    }
+
+    /** More than are kept, at any rate: those that were dropped are asked for again, and nobody vouches for what is not known. */
+    @Test
+    void whatIsDroppedIsNeitherToldNorVouchedFor() {
+        ToldCancellations told = new ToldCancellations(1, List.of(), 0);
+        Vouch first = told.vouch("leader", 3, 0, S);
+        told.taken(new VouchTaken(3, 1, first.saidMicros(), S));
+        for (int i = 0; i < 2_500; i++) {
+            told.enter("j-" + i, 2 * S + i);
+        }
+        Vouch vouch = told.vouch("leader", 3, 0, 3 * S);
+        assertEquals(2_000, vouch.jobs().size());
+        assertEquals(2 * S + 499, vouch.sinceMicros());
+        told.taken(new VouchTaken(3, 1, vouch.saidMicros(), 3 * S));
+        assertFalse(told.mayTell("j-499", 3 * S + 1));
+        assertTrue(told.mayTell("j-500", 3 * S + 1));
+        // A watermark that has seen nothing since does not follow such a vouch.
+        CancellationWatermark watermark = new CancellationWatermark(3, List.of("node"));
+        watermark.heard("node", first, S, S);
+        watermark.heard("node", vouch, S, 3 * S);
+        assertEquals(S, watermark.micros(S));
+    }
+
     @Test
     void whatCannotBeIsLeftAlone() {
         CancellationWatermark watermark = new CancellationWatermark(3, List.of("node"));
--- /dev/null
+++ b/src/test/java/org/woadloom/sim/CancellationMeetingsTest.java
@@ -0,0 +1,327 @@
+package org.woadloom.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.woadloom.sim.Day.Flaw;
+
+/**
+ * Users cancel four jobs a second while the work of the controllers changes hands. {@link Truth} checks after each step that
+ * no cancelled task stays too long; what is counted here is that the meeting came about, and how long users waited.
+ */
+class CancellationMeetingsTest {
+    private static final long S = 1_000_000;
+    private static final long AT = 30 * S;
+    private static final int SEEDS = Integer.getInteger("seeds", 1);
+
+    /** Users who cancel, each on any node, and ask again until they are told. */
+    private static final class Cancellers {
+        final World world;
+        final Set<String> asked = new HashSet<>();
+        final List<Long> waits = new ArrayList<>();
+        final Map<String, Integer> why = new TreeMap<>();
+        int open;
+
+        Cancellers(World world) {
+            this.world = world;
+        }
+
+        void until(long end) {
+            if (world.loop.now() < end) {
+                one();
+                world.loop.after(S / 4, () -> until(end));
+            }
+        }
+
+        /** Cancels a job that runs, or else one that waits. */
+        void one() {
+            List<String> jobs = new ArrayList<>(world.truth.running());
+            jobs.addAll(world.truth.acceptedJobs());
+            jobs.removeIf(uid -> asked.contains(uid) || world.truth.isOver(uid));
+            if (!jobs.isEmpty()) {
+                asked.add(jobs.get(0));
+                open++;
+                world.truth.cancelling(jobs.get(0));
+                ask(jobs.get(0), world.loop.now());
+            }
+        }
+
+        private void ask(String uid, long since) {
+            long sent = world.loop.now();
+            world.toNode("users", world.random.nextInt(World.NODES), "POST", "/v1/jobs/" + uid + "/cancel", Map.of(), 5 * S, (status, body) -> {
+                world.answered("cancel", uid, sent, status, body);
+                if (status == 200) {
+                    open--;
+                    waits.add(world.loop.now() - since);
+                } else {
+                    why.merge(status + " " + body.get("error"), 1, Integer::sum);
+                    // A node that has ended, or can't be reached, is no node that keeps anybody waiting.
+                    world.loop.after(200_000, () -> ask(uid, status > 0 ? since : world.loop.now()));
+                }
+            });
+        }
+
+        long longest() {
+            return waits.stream().mapToLong(wait -> wait).max().orElse(0);
+        }
+
+        @Override
+        public String toString() {
+            return waits.size() + " told, " + open + " not, the last after " + longest() + "; refused for " + why;
+        }
+    }
+
+    private static World day(long seed, Flaw flaw) {
+        World world = new World(seed, new Day(Day.LONG, Day.LONG, Version.NOW, flaw, 0));
+        world.trouble = 0;
+        world.servicesStay = true;
+        world.users(AT + 30 * S, 6);
+        world.run(AT);
+        return world;
+    }
+
+    private static Cancellers cancelling(World world, long forMicros) {
+        Cancellers users = new Cancellers(world);
+        users.until(world.loop.now() + forMicros);
+        return users;
+    }
+
+    /** How the work changes hands. */
+    enum Change {
+        ROLLING_RESTART(1, 700) {
+            @Override
+            void begin(World world) {
+                for (int node = 0; node < World.NODES; node++) {
+                    int ending = node;
+                    world.loop.after(node * 5 * S, () -> world.end(ending, 300_000));
+                }
+            }
+        },
+        LEADER_ENDS(1, 4000) {
+            @Override
+            void begin(World world) {
+                world.endLeader(8 * S);
+            }
+        },
+        LEADER_RETURNS_AT_ONCE(1, 600) {
+            @Override
+            void begin(World world) {
+                world.endLeader(200_000);
+            }
+        },
+        CUT_ENDS(1, 6500) {
+            @Override
+            void begin(World world) {
+                world.isolate(world.leader(), 9 * S);
+            }
+        },
+        REFUSED_UNTIL_DEPOSED(1, 4500) {
+            @Override
+            void begin(World world) {
+                world.refuseState(world.leader(), 9 * S);
+            }
+        },
+        TEN_CHANGES(10, 1500) {
+            @Override
+            void begin(World world) {
+                for (int i = 0; i < 10; i++) {
+                    world.loop.after(i * 3 * S, () -> world.endLeader(100_000 + world.random.nextInt(900_000)));
+                }
+            }
+        },
+        ALL_END_ONE_RETURNS(1, 17000) {
+            @Override
+            void begin(World world) {
+                for (int node = 0; node < World.NODES; node++) {
+                    world.end(node, node == 0 ? 300_000 : 25 * S);
+                }
+            }
+        };
+
+        final int terms;
+        final long longestWait;
+
+        /** @param terms how many are taken at least, and within how many milliseconds everybody is told */
+        Change(int terms, long longestMillis) {
+            this.terms = terms;
+            longestWait = longestMillis * 1_000;
+        }
+
+        abstract void begin(World world);
+    }
+
+    /** Four a second throughout; each is told within the time that is stated with the change, and runs no longer than it may. */
+    @ParameterizedTest
+    @EnumSource
+    void jobsAreCancelledWhileWorkChangesHands(Change change) {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            World world = day(seed, Flaw.NONE);
+            long term = world.term();
+            Cancellers users = cancelling(world, 35 * S);
+            world.loop.after(2 * S, () -> change.begin(world));
+            world.run(AT + 75 * S);
+            assertTrue(world.term() - term >= change.terms, "only " + (world.term() - term) + " changes, seed " + seed);
+            assertTrue(world.truth.cancelledWhileRunning > 15, "only " + world.truth.cancelledWhileRunning + " ran, seed " + seed);
+            assertEquals(0, users.open, users + ", seed " + seed);
+            assertTrue(users.longest() < change.longestWait, users + ", seed " + seed);
+        }
+    }
+
+    /** What else is wrong as the state service refuses the leader alone, a second before it is down for all. */
+    enum Else { NOTHING, HINTS_LOST, PEERS_CUT, PEERS_CUT_BEFORE, ANOTHER_ALONE, CONFIRMING_NODES_END }
+
+    /** Jobs are cancelled within 0.2 s around the moment at which the refusal begins. */
+    private static int atTheMomentOfTheRefusal(Else what, long seed, Day.Times told, Flaw flaw) {
+        World world = new World(seed, new Day(Day.LONG, told, Version.NOW, flaw, 0));
+        world.trouble = 0;
+        world.servicesStay = true;
+        world.users(AT, 6);
+        world.run(AT);
+        Cancellers users = new Cancellers(world);
+        int leader = world.leader();
+        for (long at = 0; at < 400_000; at += 20_000) {
+            world.loop.after(at, users::one);
+        }
+        world.hintsLost = what != Else.NOTHING;
+        if (what == Else.PEERS_CUT_BEFORE) {
+            world.refusePeers(90 * S);
+        }
+        world.loop.after(200_000, () -> {
+            world.refuseState(leader, 90 * S);
+            switch (what) {
+                case PEERS_CUT -> world.refusePeers(90 * S);
+                case ANOTHER_ALONE -> world.isolate((leader + 1) % World.NODES, 20 * S);
+                case CONFIRMING_NODES_END -> world.loop.after(350_000, () -> {
+                    world.end((leader + 1) % World.NODES, 300_000);
+                    world.end((leader + 2) % World.NODES, 20 * S);
+                });
+                default -> {
+                }
+            }
+        });
+        world.loop.after(1_200_000, () -> world.stateOutage(64 * S));
+        world.run(AT + 1_200_000);
+        int confirmed = world.truth.cancelledWhileRunning;
+        world.run(AT + 90 * S);
+        assertEquals(0, users.open, users + ", seed " + seed);
+        return confirmed;
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void jobsAreCancelledAtTheVeryMomentOfTheRefusal(Else what) {
+        int confirmed = 0;
+        for (long seed = 1; seed <= SEEDS + 1; seed++) {
+            confirmed += atTheMomentOfTheRefusal(what, seed, Day.LONG, Flaw.NONE);
+        }
+        // With the peers cut from before only a leader that nobody promised anything could be passed by.
+        assertTrue(confirmed > (what == Else.PEERS_CUT_BEFORE ? 2 : 8), "only " + confirmed + " confirmed in that second");
+    }
+
+    /** Slow answers first, then the refusal of the leader alone, then the outage, while users cancel and ask all the time. */
+    @Test
+    void theStateServiceIsSlowThenRefusesTheLeaderThenEverybody() {
+        int confirmed = 0;
+        for (long seed = 1; seed <= SEEDS + 1; seed++) {
+            World world = day(seed, Flaw.NONE);
+            world.lookClosely(25 * S);
+            world.slowState(900_000, 12 * S);
+            Cancellers users = cancelling(world, 20 * S);
+            world.loop.after(8 * S, () -> world.gap(4 * S, 60 * S));
+            world.run(AT + 12 * S);
+            confirmed += world.truth.cancelledWhileRunning;
+            world.run(AT + 100 * S);
+            assertTrue(world.closeLooks > 10, "only " + world.closeLooks + " close looks, seed " + seed);
+            assertEquals(0, users.open, users + ", seed " + seed);
+        }
+        assertTrue(confirmed > 3, "only " + confirmed + " confirmed before the outage");
+    }
+
+    /** What befalls the leader as many jobs are called off within a fifth of a second, some of whose machines hang. */
+    enum Leader {
+        ENDED {
+            @Override
+            void meet(World world) {
+                world.endLeader(3 * S);
+            }
+        },
+        ISOLATED {
+            @Override
+            void meet(World world) {
+                world.isolate(world.leader(), 40 * S);
+            }
+        },
+        REFUSED {
+            @Override
+            void meet(World world) {
+                world.refuseState(world.leader(), 40 * S);
+            }
+        };
+
+        abstract void meet(World world);
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void manyAreCalledOffAndMachinesHang(Leader leader) {
+        int confirmed = 0;
+        int called = 0;
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            World world = day(seed, Flaw.NONE);
+            for (int i = 0; i < 2; i++) {
+                called += world.cancelNow(6, 5 * S + i * 9 * S);
+                world.loop.after(i * 60_000, () -> {
+                    if (world.stored("leader") != null) {
+                        leader.meet(world);
+                    }
+                });
+                world.run(world.loop.now() + 43 * S);
+            }
+            confirmed += world.truth.cancelledWhileRunning;
+            world.run(world.loop.now() + 20 * S);
+        }
+        assertTrue(called > 8, "only " + called + " called off");
+        assertTrue(confirmed > 8, "only " + confirmed + " ran when that was confirmed");
+    }
+
+    /** While only the answers to transactions get lost, the node that was elected leads, and its words and records are found. */
+    @Test
+    void answersAreLostWhileLeadersChange() {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            World world = day(seed, Flaw.NONE);
+            long term = world.term();
+            world.loseAnswers(40, 35 * S);
+            Cancellers users = cancelling(world, 30 * S);
+            for (int i = 0; i < 6; i++) {
+                world.loop.after(i * 5 * S, () -> world.endLeader(300_000));
+            }
+            world.run(AT + 90 * S);
+            assertTrue(world.lostAnswersMade > 30, "only " + world.lostAnswersMade + " lost, seed " + seed);
+            assertTrue(world.term() - term >= 4, "only " + (world.term() - term) + " changes, seed " + seed);
+            assertEquals(0, users.open, users + ", seed " + seed);
+        }
+    }
+
+    /** The checker must be able to fail: nodes that name nothing, and a platform that is told three times the time that there is. */
+    @ParameterizedTest
+    @CsvSource({"VOUCHES_FOR_ANYTHING, HINTS_LOST, 50", "NONE, PEERS_CUT, 150"})
+    void brokenVariantsAreCaught(Flaw flaw, Else what, long cancelSeconds) {
+        Violation caught = assertThrows(Violation.class, () -> {
+            for (long seed = 1; seed <= 8; seed++) {
+                atTheMomentOfTheRefusal(what, seed, new Day.Times(20 * S, cancelSeconds * S), flaw);
+            }
+        });
+        assertTrue(caught.getMessage().contains("ran_cancelled"), caught.getMessage());
+    }
+}
