Stand-ins: a node's process stands still for a while; cancellations meet that too

Cause: leaders were ended, cut off and refused in the tests, never stopped and gone on with what they believed. Change: World.freeze; whatever comes to a frozen process waits and is done in its order once it goes on. Nothing else draws other random numbers or runs in another order. CancellationMeetingsTest freezes the leader for 9 and 12 s, alone and as many jobs are called off while machines hang.

--- a/src/test/java/org/woadloom/sim/CancellationMeetingsTest.java
+++ b/src/test/java/org/woadloom/sim/CancellationMeetingsTest.java
@@ -120,6 +120,12 @@
                 world.endLeader(200_000);
             }
         },
+        LEADER_FREEZES(1, 6500) {
+            @Override
+            void begin(World world) {
+                world.freeze(world.leader(), 9 * S);
+            }
+        },
         CUT_ENDS(1, 6500) {
             @Override
             void begin(World world) {
@@ -256,6 +262,12 @@
                 world.endLeader(3 * S);
             }
         },
+        FROZEN {
+            @Override
+            void meet(World world) {
+                world.freeze(world.leader(), 12 * S);
+            }
+        },
         ISOLATED {
             @Override
             void meet(World world) {
--- a/src/test/java/org/woadloom/sim/World.java
+++ b/src/test/java/org/woadloom/sim/World.java
@@ -103,6 +103,8 @@
         /** What the process is a stand-in for. */
         Version version;
         int life;
+        /** The process stands still until then: whatever comes to it waits. */
+        long frozenUntil;
         Node node;
         Peers peers;
 
@@ -113,6 +115,7 @@
         void start() {
             int mine = ++life;
             alive = true;
+            frozenUntil = 0;
             NodeLoop nodeLoop = new NodeLoop(this, mine);
             peers = new Peers(this, mine);
             node = new Node(nodeLoop, (address, method, path, body, timeout, callback) -> fromNode(this, mine, address,
@@ -129,6 +132,15 @@
         boolean lives(int mine) {
             return alive && life == mine;
         }
+
+        /** Does it once the process goes on, if that is there still. */
+        void whenAwake(int mine, Runnable task) {
+            if (lives(mine) && loop.now() < frozenUntil) {
+                loop.at(frozenUntil, () -> whenAwake(mine, task));
+            } else if (lives(mine)) {
+                task.run();
+            }
+        }
     }
 
     private final class NodeLoop implements Loop {
@@ -157,11 +169,13 @@
 
         @Override
         public Timer schedule(long delayMicros, Runnable task) {
-            return loop.after(delayMicros, () -> {
-                if (member.lives(mine)) {
+            boolean[] cancelled = {false};
+            loop.after(delayMicros, () -> member.whenAwake(mine, () -> {
+                if (!cancelled[0]) {
                     task.run();
                 }
-            });
+            }));
+            return () -> cancelled[0] = true;
         }
     }
 
@@ -187,6 +201,10 @@
             if (!member.lives(mine)) {
                 return;
             }
+            if (loop.now() < member.frozenUntil) {
+                loop.at(member.frozenUntil, this::poll);
+                return;
+            }
             for (Member other : members) {
                 if (other == null || other == member) {
                     continue;
@@ -255,15 +273,15 @@
             byte[] frame = codec.encode(sent);
             byte[] content = java.util.Arrays.copyOfRange(frame, 4, frame.length);
             int life = other.life;
-            loop.after(random.nextInt(1000) < trouble ? random.nextInt(40_000_000) : delay(), () -> {
-                if (other.lives(life) && other.peers.listener != null) {
+            loop.after(random.nextInt(1000) < trouble ? random.nextInt(40_000_000) : delay(), () -> other.whenAwake(life, () -> {
+                if (other.peers.listener != null) {
                     try {
                         other.peers.listener.received(label(member.index), codec.decode(content));
                     } catch (PeerFormatException e) {
                         throw new IllegalStateException(e);
                     }
                 }
-            });
+            }));
         }
     }
 
@@ -356,11 +374,8 @@
 
     private void fromNode(Member member, int mine, String address, String method, String path, byte[] body,
             long timeout, HttpTransport.Callback callback) {
-        carry(timeout, (status, answer) -> {
-            if (member.lives(mine)) {
-                callback.answered(status, status > 0 ? Cbor.encode(answer) : new byte[0]);
-            }
-        }, reply -> {
+        carry(timeout, (status, answer) -> member.whenAwake(mine, () ->
+                callback.answered(status, status > 0 ? Cbor.encode(answer) : new byte[0])), reply -> {
             Map<String, Object> map = decode(body);
             if (address.equals("state")) {
                 stateTroubles.meet(member.index, path, reply, respond -> arrived(member, mine, address, method, path, map, respond));
@@ -558,7 +573,7 @@
             keptReports.sent(body);
         }
         carry(timeout, callback, respond -> {
-            if (member.lives(life)) {
+            member.whenAwake(life, () ->
                 member.node.router().handle(method, path, bytes, response -> {
                     Map<String, Object> answer = decode(response.body());
                     if (worker != null && answer.get("epoch") instanceof Long token) {
@@ -567,8 +582,7 @@
                     if (worker == null || !worker.deaf()) {
                         respond.answer(response.status(), answer);
                     }
-                });
-            }
+                }));
         });
     }
 
@@ -1125,6 +1139,11 @@
         loop.after(forMicros, () -> peersRefused = false);
     }
 
+    /** The node's process stands still for a while, and then goes on with what it believed. */
+    void freeze(int index, long forMicros) {
+        members[index].frozenUntil = loop.now() + forMicros;
+    }
+
     /** The node loses the state service and the other nodes; workers and users still reach it. */
     void isolate(int index, long forMicros) {
         if (isolated < 0) {
