Two nodes are refused at once in the moment of the refusal

Cause: the stand-in refused one node at a time, so that the leader and the node that confirms never met the refusal together. Change: World.refuseStateToo refuses a second one; CancellationMeetingsTest has the case ANOTHER_REFUSED.

--- a/src/test/java/org/woadloom/sim/CancellationMeetingsTest.java
+++ b/src/test/java/org/woadloom/sim/CancellationMeetingsTest.java
@@ -187,7 +187,7 @@
     }
 
     /** What else is wrong as the state service refuses the leader alone, a second before it is down for all. */
-    enum Else { NOTHING, HINTS_LOST, PEERS_CUT, PEERS_CUT_BEFORE, ANOTHER_ALONE, CONFIRMING_NODES_END }
+    enum Else { NOTHING, HINTS_LOST, PEERS_CUT, PEERS_CUT_BEFORE, ANOTHER_REFUSED, ANOTHER_ALONE, CONFIRMING_NODES_END }
 
     /** Jobs are cancelled within 0.2 s around the moment at which the refusal begins. */
     private static int atTheMomentOfTheRefusal(Else what, long seed, Day.Times told, Flaw flaw) {
@@ -209,6 +209,7 @@
             world.refuseState(leader, 90 * S);
             switch (what) {
                 case PEERS_CUT -> world.refusePeers(90 * S);
+                case ANOTHER_REFUSED -> world.refuseStateToo((leader + 1) % World.NODES, 90 * S);
                 case ANOTHER_ALONE -> world.isolate((leader + 1) % World.NODES, 20 * S);
                 case CONFIRMING_NODES_END -> world.loop.after(350_000, () -> {
                     world.end((leader + 1) % World.NODES, 300_000);
--- a/src/test/java/org/woadloom/sim/World.java
+++ b/src/test/java/org/woadloom/sim/World.java
@@ -47,6 +47,8 @@
     private boolean peersRefused;
     /** The node that the state service refuses, or -1. */
     private int refusedByState = -1;
+    /** A second one. */
+    private int alsoRefused = -1;
     /** Nobody is told by a peer which jobs it has just changed. */
     boolean hintsLost;
     /** How many of a hundred transactions get no answer and are carried out 2 to 12 s later, after newer ones. */
@@ -397,7 +399,7 @@
         } else if (address.equals("state") && member.index == isolated) {
             // What was sent is executed when the way is open again.
             loop.after(1_000_000, () -> fromNodeHeld(member, mine, address, method, path, map, respond));
-        } else if (address.equals("state") && member.index == refusedByState) {
+        } else if (address.equals("state") && refused(member)) {
             respond.answer(503, Map.of("error", "trouble"));
         } else if (address.equals("state") && member.version != Version.NOW) {
             toStateAsOld(member, mine, method, path, map, respond);
@@ -455,7 +457,7 @@
     }
 
     private void carriedOutLate(Member member, Map<String, Object> txn) {
-        if (state.down || member.index == refusedByState) {
+        if (state.down || refused(member)) {
             loop.after(500_000, () -> carriedOutLate(member, txn));
         } else {
             state.handle("POST", "/txn", txn, (status, answer) -> lateWritesMade[status == 200 ? 0 : 1]++);
@@ -464,7 +466,7 @@
 
     /** A watch that is open waits while the state service refuses its node, as in an outage. */
     private void unlessRefused(Member member, int status, Map<String, Object> answer, StateStandIn.Answer respond) {
-        if (member.index == refusedByState) {
+        if (refused(member)) {
             loop.after(100_000, () -> unlessRefused(member, status, answer, respond));
         } else {
             respond.answer(status, answer);
@@ -1103,6 +1105,16 @@
         }
     }
 
+    private boolean refused(Member member) {
+        return member.index == refusedByState || member.index == alsoRefused;
+    }
+
+    /** The state service refuses this node beside the one that it refuses already. */
+    void refuseStateToo(int index, long forMicros) {
+        alsoRefused = index;
+        loop.after(forMicros, () -> alsoRefused = -1);
+    }
+
     /** The state service refuses this node alone. */
     void refuseState(int index, long forMicros) {
         refusedByState = index;
