--- a/src/test/java/org/woadloom/sim/World.java
+++ b/src/test/java/org/woadloom/sim/World.java
@@ -47,6 +47,8 @@
     private boolean peersRefused;
     /** The node that the state service refuses, or -1. */
     private int refusedByState = -1;
+    /** A second one. */
+    private int alsoRefused = -1;
     /** Nobody is told by a peer which jobs it has just changed. */
     boolean hintsLost;
     /** How many of a hundred transactions get no answer and are carried out 2 to 12 s later, after newer ones. */
@@ -103,6 +105,8 @@
         /** What the process is a stand-in for. */
         Version version;
         int life;
+        /** The process stands still until then: whatever comes to it waits. */
+        long frozenUntil;
         Node node;
         Peers peers;
 
@@ -113,6 +117,7 @@
         void start() {
             int mine = ++life;
             alive = true;
+            frozenUntil = 0;
             NodeLoop nodeLoop = new NodeLoop(this, mine);
             peers = new Peers(this, mine);
             node = new Node(nodeLoop, (address, method, path, body, timeout, callback) -> fromNode(this, mine, address,
@@ -129,6 +134,15 @@
         boolean lives(int mine) {
             return alive && life == mine;
         }
+
+        /** Does it once the process goes on, if that is there still. */
+        void whenAwake(int mine, Runnable task) {
+            if (lives(mine) && loop.now() < frozenUntil) {
+                loop.at(frozenUntil, () -> whenAwake(mine, task));
+            } else if (lives(mine)) {
+                task.run();
+            }
+        }
     }
 
     private final class NodeLoop implements Loop {
@@ -157,11 +171,13 @@
 
         @Override
         public Timer schedule(long delayMicros, Runnable task) {
-            return loop.after(delayMicros, () -> {
-                if (member.lives(mine)) {
+            boolean[] cancelled = {false};
+            loop.after(delayMicros, () -> member.whenAwake(mine, () -> {
+                if (!cancelled[0]) {
                     task.run();
                 }
-            });
+            }));
+            return () -> cancelled[0] = true;
         }
     }
 
@@ -187,6 +203,10 @@
             if (!member.lives(mine)) {
                 return;
             }
+            if (loop.now() < member.frozenUntil) {
+                loop.at(member.frozenUntil, this::poll);
+                return;
+            }
             for (Member other : members) {
                 if (other == null || other == member) {
                     continue;
@@ -255,15 +275,15 @@
             byte[] frame = codec.encode(sent);
             byte[] content = java.util.Arrays.copyOfRange(frame, 4, frame.length);
             int life = other.life;
-            loop.after(random.nextInt(1000) < trouble ? random.nextInt(40_000_000) : delay(), () -> {
-                if (other.lives(life) && other.peers.listener != null) {
+            loop.after(random.nextInt(1000) < trouble ? random.nextInt(40_000_000) : delay(), () -> other.whenAwake(life, () -> {
+                if (other.peers.listener != null) {
                     try {
                         other.peers.listener.received(label(member.index), codec.decode(content));
                     } catch (PeerFormatException e) {
                         throw new IllegalStateException(e);
                     }
                 }
-            });
+            }));
         }
     }
 
@@ -356,11 +376,8 @@
 
     private void fromNode(Member member, int mine, String address, String method, String path, byte[] body,
             long timeout, HttpTransport.Callback callback) {
-        carry(timeout, (status, answer) -> {
-            if (member.lives(mine)) {
-                callback.answered(status, status > 0 ? Cbor.encode(answer) : new byte[0]);
-            }
-        }, reply -> {
+        carry(timeout, (status, answer) -> member.whenAwake(mine, () ->
+                callback.answered(status, status > 0 ? Cbor.encode(answer) : new byte[0])), reply -> {
             Map<String, Object> map = decode(body);
             if (address.equals("state")) {
                 stateTroubles.meet(member.index, path, reply, respond -> arrived(member, mine, address, method, path, map, respond));
@@ -382,7 +399,7 @@
         } else if (address.equals("state") && member.index == isolated) {
             // What was sent is executed when the way is open again.
             loop.after(1_000_000, () -> fromNodeHeld(member, mine, address, method, path, map, respond));
-        } else if (address.equals("state") && member.index == refusedByState) {
+        } else if (address.equals("state") && refused(member)) {
             respond.answer(503, Map.of("error", "trouble"));
         } else if (address.equals("state") && member.version != Version.NOW) {
             toStateAsOld(member, mine, method, path, map, respond);
@@ -447,7 +464,7 @@
     }
 
     private void carriedOutLate(Member member, Map<String, Object> txn) {
-        if (state.down || member.index == refusedByState) {
+        if (state.down || refused(member)) {
             loop.after(500_000, () -> carriedOutLate(member, txn));
         } else {
             state.handle("POST", "/txn", txn, (status, answer) -> lateWritesMade[status == 200 ? 0 : 1]++);
@@ -456,7 +473,7 @@
 
     /** A watch that is open waits while the state service refuses its node, as in an outage. */
     private void unlessRefused(Member member, int status, Map<String, Object> answer, StateStandIn.Answer respond) {
-        if (member.index == refusedByState) {
+        if (refused(member)) {
             loop.after(100_000, () -> unlessRefused(member, status, answer, respond));
         } else {
             respond.answer(status, answer);
@@ -574,7 +591,7 @@
             keptReports.sent(body);
         }
         carry(timeout, callback, respond -> {
-            if (member.lives(life)) {
+            member.whenAwake(life, () ->
                 member.node.router().handle(method, path, bytes, response -> {
                     Map<String, Object> answer = decode(response.body());
                     if (worker != null && answer.get("epoch") instanceof Long token) {
@@ -583,8 +600,7 @@
                     if (worker == null || !worker.deaf()) {
                         respond.answer(response.status(), answer);
                     }
-                });
-            }
+                }));
         });
     }
 
@@ -1105,6 +1121,16 @@
         }
     }
 
+    private boolean refused(Member member) {
+        return member.index == refusedByState || member.index == alsoRefused;
+    }
+
+    /** The state service refuses this node beside the one that it refuses already. */
+    void refuseStateToo(int index, long forMicros) {
+        alsoRefused = index;
+        loop.after(forMicros, () -> alsoRefused = -1);
+    }
+
     /** The state service refuses this node alone. */
     void refuseState(int index, long forMicros) {
         refusedByState = index;
@@ -1141,6 +1167,11 @@
         loop.after(forMicros, () -> peersRefused = false);
     }
 
+    /** The node's process stands still for a while, and then goes on with what it believed. */
+    void freeze(int index, long forMicros) {
+        members[index].frozenUntil = loop.now() + forMicros;
+    }
+
     /** The node loses the state service and the other nodes; workers and users still reach it. */
     void isolate(int index, long forMicros) {
         if (isolated < 0) {
