A shorter promise of this process ends none of the one before: tested by itself

Cause: a broken variant that forgets what the process before may have promised was caught by no test. Change: CancellationWatermarkTest.aShorterPromiseEndsNoneOfTheProcessBefore.

--- a/src/test/java/org/woadloom/core/cancellation/CancellationWatermarkTest.java
+++ b/src/test/java/org/woadloom/core/cancellation/CancellationWatermarkTest.java
@@ -305,6 +305,19 @@
         assertTrue(told.mayTell("j-000001", 4 * S + 1));
     }
 
+    /** What the process before may have promised a node counts on, also where this one has promised it something shorter. */
+    @Test
+    void aShorterPromiseEndsNoneOfTheProcessBefore() {
+        ToldCancellations told = new ToldCancellations(1, List.of("other"), 0);
+        told.vouch("other", 3, 0, S);
+        told.enter("j-000001", 2 * S);
+        Vouch vouch = told.vouch("between", 4, 0, 2 * S);
+        told.taken(new VouchTaken(4, 1, vouch.saidMicros(), 2 * S));
+        told.heard("other", 4, true);
+        assertFalse(told.mayTell("j-000001", 14 * S));
+        assertTrue(told.mayTell("j-000001", 15 * S + 1));
+    }
+
     /** More than are kept, at any rate: those that were dropped are asked for again, and nobody vouches for what is not known. */
     @Test
     void whatIsDroppedIsNeitherToldNorVouchedFor() {
