Stand-ins: a job that is left waiting while a machine has room breaks a rule

Change: Truth looks every two seconds of calm at each job whose tasks go by themselves; a machine that never takes one job's tasks is caught by it.

--- a/src/test/java/org/woadloom/sim/Day.java
+++ b/src/test/java/org/woadloom/sim/Day.java
@@ -51,6 +51,8 @@
         UNSEEN_RECORDS,
         /** Nodes that read what has changed are told now and then what was so when they read it last. */
         OLD_CHANGES,
+        /** No machine ever takes a task of one job. */
+        ONE_JOB_NOT_TAKEN,
         /** Nodes change what is stored whatever is there. */
         NO_CONDITIONS
     }
--- a/src/test/java/org/woadloom/sim/World.java
+++ b/src/test/java/org/woadloom/sim/World.java
@@ -292,6 +292,14 @@
             loop.after(random.nextInt(500_000), member::start);
         }
         agreeAsVersion3();
+        lookForWaiting();
+    }
+
+    private void lookForWaiting() {
+        loop.after(2_000_000, () -> {
+            truth.checkWaiting(cloud.machines.values());
+            lookForWaiting();
+        });
     }
 
     /** Any node of version 3 writes the agreement once all nodes have said, at any time, that they run it. */
@@ -312,6 +320,10 @@
         });
     }
 
+    boolean isBroken(Day.Flaw flaw) {
+        return day.flaw() == flaw;
+    }
+
     static String label(int index) {
         return "node-" + index;
     }
