Machines that were never up are not given up for being unlisted

Cause: for a machine that has never been heard silence says nothing, so Capacity.unlisted alone decided, and a list that lags for longer than it should would have had machines returned that were still booting. Change: it judges only machines that were up, by their own word or by their record; the others are waited for as before. The prints of a trial are gone from MachineMeetingsTest.

--- a/src/main/java/org/woadloom/core/capacity/Capacity.java
+++ b/src/main/java/org/woadloom/core/capacity/Capacity.java
@@ -130,11 +130,13 @@
 
     /**
      * True where the last list lacks a machine that it would show if it were there: lists are up to two lags old, and one
-     * that was listed once is listed until it is gone. That is no proof that its tasks are gone; its deletion is.
+     * that was listed once is listed until it is gone. That is no proof that its tasks are gone; its deletion is. One that was
+     * never up may only be new to a list that is slower still.
      */
     private boolean unlisted(Machine machine) {
         long there = Math.max(machine.rentedMicros, world.startedMicros);
-        return listMicros - listedMicros.getOrDefault(machine.host, there) > 2 * world.settings.listLagMicros() + LIST_MARGIN_MICROS;
+        return (machine.heard() || machine.upRecorded)
+                && listMicros - listedMicros.getOrDefault(machine.host, there) > 2 * world.settings.listLagMicros() + LIST_MARGIN_MICROS;
     }
 
     private void rent(List<Job> queue) {
--- a/src/test/java/org/woadloom/core/capacity/CapacityTest.java
+++ b/src/test/java/org/woadloom/core/capacity/CapacityTest.java
@@ -187,4 +187,17 @@
         }
         assertTrue(!leader.noted("no longer listed"));
     }
+
+    /** A machine that boots may be new to the list for longer than lists are said to lag. */
+    @Test
+    void aMachineThatBootsIsNotGivenUpForBeingUnlisted() {
+        leader.submit("j-1", 2);
+        leader.pass(5 * SECOND);
+        leader.step(new Command.Rented(rentals().get(0).claim(), Command.RentOutcome.RENTED, List.of("host-000001")));
+        for (int s = 0; s < 30; s++) {
+            leader.step(new Command.MachinesListed(List.of()));
+            leader.pass(SECOND);
+        }
+        assertTrue(leader.all(Effect.Delete.class).isEmpty() && rentals().size() == 1);
+    }
 }
--- a/src/test/java/org/woadloom/sim/MachineMeetingsTest.java
+++ b/src/test/java/org/woadloom/sim/MachineMeetingsTest.java
@@ -91,7 +91,6 @@
     @CsvSource({"CLOSED_IN, 10, 0", "CLOSED_IN, 3, 1", "MUTE, 3, 1", "DEAF, 10, 1", "DEAF, 3, 0", "HANGS, 3, 0", "HANGS, 10, 1", ", 2, 1"})
     void theOthersKeepTheirLeasesAndTheWorkGoesElsewhere(OutOfTouch kind, int oneIn, int leaderEnds) {
         int befallen = 0;
-        int killed = 0;
         int moved = 0;
         for (long seed = 1; seed <= seeds(2); seed++) {
             World world = day(seed, Day.LONG);
@@ -108,11 +107,9 @@
             assertEquals(List.of(), left(world, tasks, troubled), "neither done nor elsewhere after 59 s, seed " + seed);
             befallen += troubled.size();
             moved += tasks.size();
-            killed += troubled.stream().mapToInt(worker -> worker.killedByLease).sum();
             world.run(AT + 300_000_000);
             assertEquals(List.of(), world.unfinished(), "seed " + seed);
         }
-        System.out.println("MEASURED " + kind + " " + oneIn + " " + leaderEnds + ": " + befallen + " machines, " + moved + " tasks, " + killed + " killed");
         assertTrue(befallen >= 2 && moved > 0, befallen + " machines and " + moved + " tasks were out of touch");
     }
 
@@ -174,7 +171,6 @@
             while (world.truth.starts == starts && world.loop.now() < begins + 60_000_000) {
                 world.run(world.loop.now() + 100_000);
             }
-            System.out.println("MEASURED all away, seed " + seed + ": first start after " + (world.loop.now() - begins) / 100_000 / 10.0 + " s");
             assertTrue(world.loop.now() - begins < 15_000_000, "first start after " + (world.loop.now() - begins) / 1_000_000 + " s, seed " + seed);
             world.run(begins + 60_000_000);
             assertEquals(List.of(), left(world, tasks, List.of()), "neither done nor begun anew, seed " + seed);
@@ -205,7 +201,6 @@
             count.merge("unexpected", world.unexpectedMachines().size(), Integer::sum);
             count.merge("deleted for others", world.deletedForOthers(), Integer::sum);
         }
-        System.out.println("MEASURED late: " + count);
         assertTrue(count.get("unexpected") >= 5 && count.get("deleted for others") >= 3, "" + count);
     }
 
@@ -248,7 +243,6 @@
             count.merge("late writes", world.lateWritesMade[0] + world.lateWritesMade[1], Integer::sum);
             count.merge("lost answers", world.lostAnswersMade, Integer::sum);
         }
-        System.out.println("MEASURED quick: " + count);
         assertTrue(count.values().stream().allMatch(times -> times >= 10), "" + count);
     }
 }
