--- a/src/main/java/org/woadloom/reads/SharedReads.java
+++ b/src/main/java/org/woadloom/reads/SharedReads.java
@@ -186,7 +186,8 @@
                 return;
             }
             if (result == Result.OK) {
-                Set<String> askedFor = askedFor(upTo);
+                // Where another answer came first that tells more, what this one leaves out will not be told again.
+                Set<String> askedFor = generation >= since ? askedFor(upTo) : Set.of();
                 events.forEach(event -> changed(event, askedFor));
                 told(generation, now);
                 answered(upTo, this::answer);
--- a/src/test/java/org/woadloom/sim/World.java
+++ b/src/test/java/org/woadloom/sim/World.java
@@ -1192,6 +1192,10 @@
         }
     }
 
+    boolean isIsolated(int index) {
+        return isolated == index;
+    }
+
     /** Nothing reaches one in so many of a zone's machines for a while, and their reports arrive. */
     void deafen(String yard, int oneIn, long forMicros) {
         int count = 0;
