--- a/src/main/java/org/woadloom/core/teams/LimitTurns.java
+++ b/src/main/java/org/woadloom/core/teams/LimitTurns.java
@@ -20,7 +20,7 @@
     /** How long others leave the limit to one job, and for how long it has no other turn after that. */
     private static final long TURN_MICROS = 60_000_000;
 
-    /** Between two turns the others of the team get what is free: nobody waits for one turn after the other. */
+    /** After a turn in vain the others of the team get what is free: nobody waits for one such turn after the other. */
     private static final long REST_MICROS = 5_000_000;
 
     private final World world;
@@ -28,8 +28,8 @@
     private final Map<TeamUse, Turn> turns = new HashMap<>();
     /** Jobs that had a turn and could not begin, and until when they have no other. */
     private final Map<Job, Long> passed = new HashMap<>();
-    /** When the last turn of each team ended. */
-    private final Map<TeamUse, Long> endedMicros = new HashMap<>();
+    /** When the last turn of each team that was in vain ended. */
+    private final Map<TeamUse, Long> vainMicros = new HashMap<>();
 
     private record Turn(Job job, long sinceMicros) {
     }
@@ -50,14 +50,11 @@
             boolean over = world.nowMicros - turn.sinceMicros > TURN_MICROS;
             if (over && waits(turn.job)) {
                 passed.put(turn.job, world.nowMicros + TURN_MICROS);
+                vainMicros.put(turn.job.team, world.nowMicros);
                 world.note("job " + turn.job.uid() + " could not begin in " + TURN_MICROS / 1_000_000 + " s in which the limit of team "
                         + turn.job.team.team.name() + " was left to it");
             }
-            boolean ended = over || !waits(turn.job);
-            if (ended) {
-                endedMicros.put(turn.job.team, world.nowMicros);
-            }
-            return ended;
+            return over || !waits(turn.job);
         });
         Map<TeamUse, Job> next = new HashMap<>();
         for (Job job : world.jobs.values()) {
@@ -75,7 +72,7 @@
     }
 
     private boolean rests(TeamUse team) {
-        return world.nowMicros - endedMicros.getOrDefault(team, Long.MIN_VALUE / 2) < REST_MICROS;
+        return world.nowMicros - vainMicros.getOrDefault(team, Long.MIN_VALUE / 2) < REST_MICROS;
     }
 
     /** What replicas use does not come free by itself: where they leave too little, there is nothing to wait for. */
--- a/src/test/java/org/woadloom/core/teams/LimitTurnsTest.java
+++ b/src/test/java/org/woadloom/core/teams/LimitTurnsTest.java
@@ -125,6 +125,28 @@
         assertEquals(0, large.allowed());
     }
 
+    /** With a pause after each turn, most of a hundred jobs at a low limit had not begun after four minutes. */
+    @Test
+    void aTurnThatWasUsedIsFollowedByTheNextAtOnce() {
+        nibble();
+        Job first = fixture.job("j-1", 8, 1, 1);
+        fixture.world.nowMicros += 1_000_000;
+        Job second = fixture.job("j-2", 8, 1, 1);
+        fixture.world.nowMicros += 105_000_000;
+        turns.update();
+        Job[] running = running();
+        for (int i = 0; i < 8; i++) {
+            running[i].remove(running[i].placement(0));
+        }
+        fixture.place(reservations, first, 0, machines[0]);
+        turns.update();
+        for (int i = 8; i < 16; i++) {
+            running[i].remove(running[i].placement(0));
+        }
+        assertEquals(0, fixture.job("j-small", 1, 1, 1).allowed());
+        assertEquals(1, second.allowed());
+    }
+
     /** Two that find no machine would keep a part of the limit from all others by turns, for ever. */
     @Test
     void nobodyWaitsForOneTurnAfterTheOther() {
