Turns at a limit: jobs that have ended are gone in the test, too

Cause: the small jobs that the test ends were left among those that wait, and had turns of their own. Change: they are removed.

--- a/src/test/java/org/woadloom/core/teams/LimitTurnsTest.java
+++ b/src/test/java/org/woadloom/core/teams/LimitTurnsTest.java
@@ -137,11 +137,13 @@
         Job[] running = running();
         for (int i = 0; i < 8; i++) {
             running[i].remove(running[i].placement(0));
+            fixture.world.jobs.remove(running[i].uid());
         }
         fixture.place(reservations, first, 0, machines[0]);
         turns.update();
         for (int i = 8; i < 16; i++) {
             running[i].remove(running[i].placement(0));
+            fixture.world.jobs.remove(running[i].uid());
         }
         assertEquals(0, fixture.job("j-small", 1, 1, 1).allowed());
         assertEquals(1, second.allowed());
