--- a/src/main/java/org/woadloom/node/LeaderDuties.java
+++ b/src/main/java/org/woadloom/node/LeaderDuties.java
@@ -187,16 +187,12 @@
             }
             List<Command.StoredMachine> machines = new ArrayList<>();
             for (StateClient.Entry entry : entries) {
-                String host = entry.path().substring(Keys.MACHINES.length());
-                MachineRecord record;
                 try {
-                    record = MachineRecord.parse(host, entry.value());
+                    String host = entry.path().substring(Keys.MACHINES.length());
+                    machines.add(new Command.StoredMachine(MachineRecord.parse(host, entry.value()), entry.stamp()));
                 } catch (WireException e) {
-                    LOG.error("record {} can't be read, and the machine is returned: {}", entry.path(), e.getMessage());
-                    // What jobs' records name on it may be there: without the machine it would be taken for gone.
-                    record = new MachineRecord(host, "", "", false, true);
+                    LOG.error("record {} can't be read: {}", entry.path(), e.getMessage());
                 }
-                machines.add(new Command.StoredMachine(record, entry.stamp()));
             }
             loadJobs(ofTerm, leaderStamp, machines);
         });
