--- a/src/main/java/org/woadloom/http/JobApi.java
+++ b/src/main/java/org/woadloom/http/JobApi.java
@@ -10,7 +10,6 @@
 import org.woadloom.reads.SharedReads;
 import org.woadloom.reads.Unanswered;
 import org.woadloom.settings.ServiceSettings;
-import org.woadloom.settings.Team;
 import org.woadloom.state.FinalRecord;
 import org.woadloom.state.JobRecord;
 import org.woadloom.state.Keys;
@@ -50,9 +49,13 @@
         void mayTell(String uid, long patienceMicros, Consumer<Boolean> answer);
     }
 
-    /** Where the machine types come from; empty while they are unknown. */
+    /** Where the machine types come from. */
     public interface Types {
+        /** As they were last read, empty while they are unknown. */
         List<MachineType> types();
+
+        /** Reads them from the cloud; false if that does not answer. */
+        void readAnew(Consumer<Boolean> answered);
     }
 
     /** How and how large records may be now. */
@@ -69,27 +72,28 @@
 
     private final Loop loop;
     private final StateClient state;
-    private final ServiceSettings settings;
     private final Storage storage;
-    private final Types types;
     private final Hint hint;
     private final Confirmation confirmation;
     private final JobReader reader;
     private final SharedReads shared;
+    private final Admission admission;
+    private final UserWrites writes;
     private final Unanswered unanswered;
 
     public JobApi(Loop loop, StateClient state, ServiceSettings settings, Storage storage, Types types, Hint hint,
             Confirmation confirmation) {
         this.loop = loop;
         this.state = state;
-        this.settings = settings;
         this.storage = storage;
-        this.types = types;
         this.hint = hint;
         this.confirmation = confirmation;
         reader = new JobReader(state, storage::seen);
         unanswered = new Unanswered(loop);
-        shared = new SharedReads(loop, state, reader, settings.state(), settings.peers().size() + 1);
+        int nodes = settings.peers().size() + 1;
+        shared = new SharedReads(loop, state, reader, settings.state(), nodes);
+        admission = new Admission(loop, settings, types);
+        writes = new UserWrites(loop, state, settings.state().rps(), nodes);
     }
 
     /** Logs what its user had to wait for. */
@@ -114,21 +118,21 @@
             return;
         }
         JobDescription job;
-        Response refusal;
         try {
-            job = JobDescription.parse(map);
-            refusal = refusal(job);
+            job = JobDescription.submitted(map);
         } catch (WireException e) {
-            job = null;
-            refusal = Response.error(400, e.getMessage());
-        }
-        if (refusal != null) {
-            refuseUnlessKnown(map.get("uid"), refusal, answer);
-        } else if (job.awaits().isEmpty()) {
-            create(job, answer);
-        } else {
-            createAfter(job, answer);
+            refuseUnlessKnown(map.get("uid"), Response.error(400, e.getMessage()), answer);
+            return;
         }
+        admission.judge(job, refusal -> {
+            if (refusal != null) {
+                refuseUnlessKnown(job.uid(), refusal, answer);
+            } else if (job.awaits().isEmpty()) {
+                create(job, answer);
+            } else {
+                createAfter(job, answer);
+            }
+        });
     }
 
     /** A job that was accepted stays accepted, whatever a repeated request looks like. */
@@ -141,37 +145,15 @@
             if (looked == null) {
                 answer.accept(Response.unavailable("the state service does not answer"));
             } else if (looked.status() != null) {
-                tell(SharedReads.Shown.of(looked), PATIENCE_MICROS, () -> answer.accept(Response.of(200, looked.status().toMap())),
-                        answer);
+                tellAccepted(looked, answer);
             } else {
                 answer.accept(refusal);
             }
         });
     }
 
-    /** Why the job can never run, or can't be decided now; null if it can. */
-    private Response refusal(JobDescription job) {
-        Team team = settings.team(job.crew());
-        if (team == null) {
-            return Response.error(422, "crew: unknown team");
-        }
-        int together = job.service() || job.gang() ? job.shards() : 1;
-        if (job.vcpus() * together > team.cpusMax() + 1e-9 || job.cards() * together > team.gpusMax() + 1e-9) {
-            return Response.error(422, "the job needs more than the team's limit");
-        }
-        if (job.yard() != null && !settings.zones().contains(job.yard())) {
-            return Response.error(422, "yard: unknown zone");
-        }
-        List<MachineType> known = types.types();
-        if (known.isEmpty()) {
-            return Response.unavailable("the machine types are not known yet");
-        }
-        for (MachineType type : known) {
-            if (type.holds(job) && (job.hosttypes() == null || job.hosttypes().contains(type.name()))) {
-                return null;
-            }
-        }
-        return Response.error(422, "a task fits no allowed machine type");
+    private void tellAccepted(Looked looked, Consumer<Response> answer) {
+        tell(SharedReads.Shown.of(looked), PATIENCE_MICROS, () -> answer.accept(Response.of(200, looked.status().toMap())), answer);
     }
 
     /**
@@ -227,6 +209,11 @@
     }
 
     private void create(JobDescription job, Consumer<Response> answer) {
+        if (reader.acceptedService(job.uid()) != null) {
+            // A transaction that can only fail would count as a change all the same, and those are scarce.
+            refuseUnlessKnown(job.uid(), Response.unavailable("the job changed meanwhile"), answer);
+            return;
+        }
         JobRecord record = JobRecord.accepted(job, loop.wallMicros());
         RecordFormat format = storage.format();
         Map<String, Object> value = record.toMap(format);
@@ -235,13 +222,15 @@
             refuseUnlessKnown(job.uid(), Response.error(400, "the job's description is too long"), answer);
             return;
         }
-        state.txn(Urgency.USER,
-                List.of(new Condition(Keys.job(job.uid()), 0), new Condition(Keys.finalState(job.uid()), 0)),
-                List.of(Change.put(Keys.job(job.uid()), value)), (result, generation, failed) -> {
-                    if (result == Result.OK) {
+        writes.write(job.uid(), List.of(new Condition(Keys.job(job.uid()), 0), new Condition(Keys.finalState(job.uid()), 0)),
+                Change.put(Keys.job(job.uid()), value), reader::lookForRecord, found -> true, (result, generation, found) -> {
+                    boolean ours = found != null && record.equals(found.record());
+                    if (result == Result.OK || ours) {
                         reader.accepted(job.uid(), job.service());
-                        hint.changed(record, generation);
+                        hint.changed(record, ours ? found.stamp() : generation);
                         answer.accept(Response.of(201, new JobStatus(job.uid(), "queued", -1, 0).toMap()));
+                    } else if (found != null) {
+                        tellAccepted(found, answer);
                     } else if (result == Result.CONFLICT) {
                         refuseUnlessKnown(job.uid(), Response.unavailable("the job changed meanwhile"), answer);
                     } else if (result == Result.BAD) {
@@ -380,30 +369,41 @@
     }
 
     private void cancel(String uid, int tries, Consumer<Response> answer) {
-        reader.look(uid, looked -> {
-            if (looked == null || tries == 0) {
-                answer.accept(Response.unavailable("the job could not be cancelled now"));
-            } else if (looked.status() == null) {
-                answer.accept(Response.error(404, "no such job"));
-            } else if (looked.unread() != null) {
-                cancelUnread(looked, answer);
-            } else if (looked.finalState() != null || looked.record().cancelled() || looked.record().allDone()) {
-                tellEnd(new JobStatus(uid, looked.status().status(), -1, 0), answer);
-            } else {
-                JobRecord cancelled = looked.record().asCancelled();
-                RecordFormat format = looked.format() == RecordFormat.COMPACT ? looked.format() : storage.format();
-                state.txn(Urgency.USER, List.of(new Condition(Keys.job(uid), looked.stamp())),
-                        List.of(Change.put(Keys.job(uid), cancelled.toMap(format))), (result, generation, failed) -> {
-                            if (result == Result.OK) {
-                                hint.changed(cancelled, generation);
-                                tellEnd(new JobStatus(uid, "cancelled", -1, 0), answer);
-                            } else if (result == Result.CONFLICT) {
-                                cancel(uid, tries - 1, answer);
-                            } else {
-                                answer.accept(Response.unavailable("the job could not be cancelled now"));
+        reader.look(uid, looked -> cancel(uid, looked, tries, answer));
+    }
+
+    private void cancel(String uid, Looked looked, int tries, Consumer<Response> answer) {
+        if (looked == null) {
+            answer.accept(Response.unavailable("the job could not be cancelled now"));
+        } else if (looked.status() == null) {
+            answer.accept(Response.error(404, "no such job"));
+        } else if (looked.unread() != null) {
+            cancelUnread(looked, answer);
+        } else if (looked.finalState() != null || looked.record().cancelled() || looked.record().allDone()) {
+            tellEnd(new JobStatus(uid, looked.status().status(), -1, 0), answer);
+        } else if (tries == 0) {
+            answer.accept(Response.unavailable("the job could not be cancelled now"));
+        } else {
+            JobRecord cancelled = looked.record().asCancelled();
+            RecordFormat format = looked.format() == RecordFormat.COMPACT ? looked.format() : storage.format();
+            // Once the record has another stamp, the write was carried out or never will be.
+            writes.write(uid, List.of(new Condition(Keys.job(uid), looked.stamp())),
+                    Change.put(Keys.job(uid), cancelled.toMap(format)), reader::look,
+                    found -> found.status() != null && found.stamp() != looked.stamp(), (result, generation, found) -> {
+                        if (result == Result.OK) {
+                            hint.changed(cancelled, generation);
+                            tellEnd(new JobStatus(uid, "cancelled", -1, 0), answer);
+                        } else if (found != null) {
+                            if (found.record() != null && found.record().cancelled()) {
+                                hint.changed(found.record(), found.stamp());
                             }
-                        });
-            }
-        });
+                            cancel(uid, found, tries - 1, answer);
+                        } else if (result == Result.CONFLICT) {
+                            cancel(uid, tries - 1, answer);
+                        } else {
+                            answer.accept(Response.unavailable("the job could not be cancelled now"));
+                        }
+                    });
+        }
     }
 }
--- a/src/test/java/org/woadloom/core/teams/LimitTurnsTest.java
+++ b/src/test/java/org/woadloom/core/teams/LimitTurnsTest.java
@@ -125,6 +125,90 @@
         assertEquals(0, large.allowed());
     }
 
+    /** With a pause after each turn, most of a hundred jobs at a low limit had not begun after four minutes. */
+    @Test
+    void aTurnThatWasUsedIsFollowedByTheNextAtOnce() {
+        nibble();
+        Job first = fixture.job("j-1", 8, 1, 1);
+        fixture.world.nowMicros += 1_000_000;
+        Job second = fixture.job("j-2", 8, 1, 1);
+        fixture.world.nowMicros += 105_000_000;
+        turns.update();
+        Job[] running = running();
+        for (int i = 0; i < 8; i++) {
+            running[i].remove(running[i].placement(0));
+            fixture.world.jobs.remove(running[i].uid());
+        }
+        fixture.place(reservations, first, 0, machines[0]);
+        turns.update();
+        for (int i = 8; i < 16; i++) {
+            running[i].remove(running[i].placement(0));
+            fixture.world.jobs.remove(running[i].uid());
+        }
+        assertEquals(0, fixture.job("j-small", 1, 1, 1).allowed());
+        assertEquals(1, second.allowed());
+    }
+
+    /** Where large jobs begin in turn after turn, what is small has its time as well, once a minute. */
+    @Test
+    void turnsThatAreUsedMakeAPauseOnceAMinute() {
+        nibble();
+        for (int i = 0; i < 200; i++) {
+            fixture.job("j-" + i, 8, 1, 1);
+        }
+        fixture.world.nowMicros += 105_000_000;
+        turns.update();
+        Job[] running = running();
+        for (int i = 0; i < 9; i++) {
+            running[i].remove(running[i].placement(0));
+            fixture.world.jobs.remove(running[i].uid());
+        }
+        Job small = fixture.job("j-small", 1, 1, 1);
+        int begun = 0;
+        int free = 0;
+        for (int second = 0; second < 66; second++) {
+            fixture.world.nowMicros += 1_000_000;
+            turns.update();
+            free += small.allowed() > 1 ? 1 : 0;
+            for (Job job : List.copyOf(fixture.world.jobs.values())) {
+                if (job.room.cpu() == 8_000 && job.allowed() > 0 && small.allowed() < 2) {
+                    fixture.place(reservations, job, 0, machines[0]);
+                    turns.update();
+                    job.remove(job.placement(0));
+                    fixture.world.jobs.remove(job.uid());
+                    begun++;
+                    break;
+                }
+            }
+        }
+        assertTrue(begun > 55 && free >= 3 && free <= 6, begun + " begun, and in " + free + " s the others had what was free");
+    }
+
+    /** Two that find no machine would keep a part of the limit from all others by turns, for ever. */
+    @Test
+    void nobodyWaitsForOneTurnAfterTheOther() {
+        nibble();
+        fixture.job("j-1", 8, 1, 1);
+        fixture.job("j-2", 8, 1, 1);
+        fixture.world.nowMicros += 105_000_000;
+        turns.update();
+        Job ended = running()[0];
+        ended.remove(ended.placement(0));
+        fixture.world.jobs.remove(ended.uid());
+        Job small = fixture.job("j-small", 1, 1, 1);
+        int waitedS = 0;
+        int longestS = 0;
+        int turnsS = 0;
+        for (int second = 0; second < 400; second++) {
+            fixture.world.nowMicros += 1_000_000;
+            turns.update();
+            waitedS = small.allowed() > 0 ? 0 : waitedS + 1;
+            turnsS += small.allowed() > 0 ? 0 : 1;
+            longestS = Math.max(longestS, waitedS);
+        }
+        assertTrue(longestS < 70 && turnsS > 200, longestS + " s at a time, " + turnsS + " s in all");
+    }
+
     /** A largest job that keeps being late would make way for whatever can still be in time. */
     @Test
     void withAgeTheLargestGoBeforeTheOthersOfTheirKind() {
--- a/src/test/java/org/woadloom/sim/CancellationGapTest.java
+++ b/src/test/java/org/woadloom/sim/CancellationGapTest.java
@@ -82,7 +82,7 @@
             World world = day(seed, Flaw.NONE);
             world.hintsLost = true;
             world.refuseState(world.leader(), 14_000_000);
-            world.loop.after(300_000, () -> world.truth.running().stream().limit(3).forEach(world::cancel));
+            world.loop.after(300_000, () -> world.truth.running().stream().limit(6).forEach(world::cancel));
             world.loop.after(REFUSED, () -> world.stateOutage(DOWN));
             world.run(AT + REFUSED);
             confirmed += world.truth.cancelledWhileRunning;
@@ -148,7 +148,9 @@
             world.trouble = 0;
             world.servicesStay = true;
             world.users(AT);
-            world.pipelines(AT);
+            for (int chain = 0; chain < 3; chain++) {
+                world.pipelines(AT);
+            }
             world.run(AT);
             refusedThenDown(world, 300_000);
             world.run(AT + REFUSED);
--- a/src/test/java/org/woadloom/sim/CloudStandIn.java
+++ b/src/test/java/org/woadloom/sim/CloudStandIn.java
@@ -4,21 +4,31 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 
 /** The cloud, written from the protocol; its list lags. */
 final class CloudStandIn {
-    private static final int CAPACITY = 14;
+    static final int CAPACITY = 14;
 
     private final World world;
+    private final Random more;
     final Map<String, WorkerStandIn> machines = new LinkedHashMap<>();
     private final Map<String, String[]> booting = new LinkedHashMap<>();
     private final Map<String, List<Object>> claims = new LinkedHashMap<>();
     private List<Object> shown = new ArrayList<>();
     private int names;
+    int capacity = CAPACITY;
     boolean down;
+    /** How many of a hundred rentals and deletions are carried out late, and get no answer. */
+    int lateOfHundred;
+    final List<String> unexpected = new ArrayList<>();
+    int deletedForOthers;
+    /** Until then machines are up within two seconds, some of them before their rental is answered. */
+    long quickUntil;
 
-    CloudStandIn(World world) {
+    CloudStandIn(World world, Random more) {
         this.world = world;
+        this.more = more;
         refresh();
     }
 
@@ -48,6 +58,25 @@
     }
 
     void handle(String method, String path, Map<String, Object> body, StateStandIn.Answer answer) {
+        if (method.equals("POST") && lateOfHundred > 0 && more.nextInt(100) < lateOfHundred) {
+            long term = world.term();
+            world.loop.after(2_000_000 + more.nextInt(18_000_000), () -> carryOutLate(path, body, term));
+        } else {
+            carryOut(method, path, body, answer);
+        }
+    }
+
+    private void carryOutLate(String path, Map<String, Object> body, long term) {
+        int before = machines.size();
+        carryOut("POST", path, body, (status, hosts) -> {
+            if (status == 200 && world.term() != term && hosts.get("hosts") instanceof List<?> rented) {
+                rented.stream().filter(booting::containsKey).forEach(host -> unexpected.add((String) host));
+            }
+        });
+        deletedForOthers += world.term() != term ? before - machines.size() : 0;
+    }
+
+    private void carryOut(String method, String path, Map<String, Object> body, StateStandIn.Answer answer) {
         if (down) {
             answer.answer(503, Map.of("error", "trouble"));
         } else if (path.equals("/machine_types")) {
@@ -94,13 +123,16 @@
             return;
         }
         List<Object> hosts = new ArrayList<>();
-        for (long i = 0; i < (Long) body.get("count") && machines.size() + booting.size() < CAPACITY; i++) {
+        boolean quick = world.loop.now() < quickUntil;
+        for (long i = 0; i < (Long) body.get("count") && machines.size() + booting.size() < capacity; i++) {
             String host = String.format("host-%06d", names++);
             hosts.add(host);
             booting.put(host, new String[] {(String) body.get("hosttype"), (String) body.get("yard"),
                     "" + body.get("reclaimable")});
             if (world.random.nextInt(12) > 0) {
-                world.loop.after(2_000_000 + world.random.nextInt(12_000_000), () -> boot(host));
+                long usual = 2_000_000 + world.random.nextInt(12_000_000);
+                world.loop.after(quick ? 300_000 + more.nextInt(1_700_000) : usual, () -> boot(host));
+                world.quickBoots += quick ? 1 : 0;
             }
         }
         if (hosts.isEmpty()) {
@@ -108,6 +140,10 @@
             return;
         }
         claims.put(claim, hosts);
+        if (quick) {
+            world.loop.after(more.nextInt(2_500_000), () -> answer.answer(200, Map.of("hosts", hosts)));
+            return;
+        }
         answer.answer(200, Map.of("hosts", hosts));
     }
 
--- a/src/test/java/org/woadloom/sim/Truth.java
+++ b/src/test/java/org/woadloom/sim/Truth.java
@@ -1,14 +1,18 @@
 package org.woadloom.sim;
 
+import java.util.ArrayDeque;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.woadloom.settings.ServiceSettings;
 import org.woadloom.settings.Team;
 import org.woadloom.wire.JobDescription;
+import org.woadloom.wire.Rank;
 import org.woadloom.wire.TaskId;
 
 /** What really happens in the simulated world, and the rules, checked at each step. */
@@ -18,6 +22,9 @@
     final Map<String, JobDescription> submitted = new LinkedHashMap<>();
     /** A job that gets no answer for so long when all is well counts as forgotten. */
     private static final long FORGOTTEN_MICROS = 75_000_000;
+    private static final long WAITING_MICROS = 90_000_000;
+    /** Since when a job waits though it could begin. */
+    private final Map<String, Long> couldBegin = new HashMap<>();
     private final Map<String, Long> accepted = new LinkedHashMap<>();
     private final Map<String, Long> pollAnswered = new HashMap<>();
     /** No trouble is left from this moment on. */
@@ -29,6 +36,20 @@
     private final Map<TaskId, WorkerStandIn> on = new LinkedHashMap<>();
     private final Set<TaskId> done = new HashSet<>();
     private final Set<String> ran = new HashSet<>();
+    /** Jobs that can't run, or lack a field: none of them may be accepted. */
+    final Set<String> unfit = new HashSet<>();
+    /** A leader has heard of a task's end, and its record names the next one, after two reports and a write. */
+    private static final long HEARD_MICROS = 4_000_000;
+    private final ArrayDeque<End> freed = new ArrayDeque<>();
+
+    private record End(long micros, String crew, double vcpus) {
+    }
+
+    /** Hears of each job whose last task has just been completed. */
+    Consumer<String> lastTaskEnded = uid -> {
+    };
+    /** Starts of tasks after a user was told that their job is cancelled; a rule is broken if they stay for too long. */
+    int startsAfterCancellation;
     int starts;
     /** Running tasks that were killed because their worker's lease ended. */
     int killedByLease;
@@ -56,8 +77,7 @@
         if (other != null && other != worker) {
             throw new Violation("ran_twice", task + " starts on " + worker.host + " while on " + other.host);
         }
-        if (job.hosttypes() != null && !job.hosttypes().contains(worker.hosttype)
-                || job.yard() != null && !job.yard().equals(worker.yard) || worker.reclaimable && !job.reclaimable()) {
+        if (!worker.fits(job)) {
             throw new Violation("wrong_place", task + " on " + worker.host);
         }
         int sameYard = 1;
@@ -74,13 +94,10 @@
         if (job.apart() && sameYard > (job.shards() + 1) / 2) {
             throw new Violation("wrong_place", task + " makes " + sameYard + " in " + worker.yard);
         }
+        startsAfterCancellation += toldCancelled.containsKey(task.uid()) ? 1 : 0;
         on.put(task, worker);
         Team team = settings.team(job.crew());
-        double cpus = 0;
-        for (TaskId running : on.keySet()) {
-            JobDescription other2 = submitted.get(running.uid());
-            cpus += other2.crew().equals(job.crew()) ? other2.vcpus() : 0;
-        }
+        double cpus = used(job.crew());
         if (cpus > team.cpusMax() + 1e-6) {
             throw new Violation("quota", job.crew() + " uses " + cpus);
         }
@@ -88,9 +105,10 @@
     }
 
     void ended(TaskId task, WorkerStandIn worker, boolean completed) {
+        freed.add(new End(loop.now(), submitted.get(task.uid()).crew(), submitted.get(task.uid()).vcpus()));
         on.remove(task, worker);
-        if (completed) {
-            done.add(task);
+        if (completed && done.add(task) && allDone(task.uid())) {
+            lastTaskEnded.accept(task.uid());
         }
     }
 
@@ -101,6 +119,94 @@
         return jobs;
     }
 
+    /** The machines that have tasks of these jobs. */
+    Set<WorkerStandIn> machinesOf(Collection<String> jobs) {
+        Set<WorkerStandIn> machines = new LinkedHashSet<>();
+        on.forEach((task, worker) -> {
+            if (jobs.contains(task.uid())) {
+                machines.add(worker);
+            }
+        });
+        return machines;
+    }
+
+    /** Jobs of this importance or more, or of less, that have tasks which are neither done nor on a machine. */
+    int waiting(Rank rank, boolean less) {
+        return (int) accepted.keySet().stream().filter(uid -> !isOver(uid) && submitted.get(uid).rank().compareTo(rank) < 0 == less
+                && hasWaiting(submitted.get(uid))).count();
+    }
+
+    private boolean hasWaiting(JobDescription job) {
+        for (int i = 0; i < job.shards(); i++) {
+            TaskId task = new TaskId(job.uid(), i);
+            if (!done.contains(task) && !on.containsKey(task)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /**
+     * When all is well no job waits for long for a machine that is there and has room, below its team's limit. What fetches its
+     * image counts for the limit here, and what ended a moment ago, of which no leader may have heard yet: a team whose short tasks
+     * follow each other is at it.
+     */
+    void checkWaiting(Collection<WorkerStandIn> workers) {
+        if (loop.now() < calmFrom) {
+            return;
+        }
+        for (String uid : accepted.keySet()) {
+            JobDescription job = submitted.get(uid);
+            // Those whose tasks go together need more than room for one.
+            boolean could = !isOver(uid) && !askedToCancel.contains(uid) && cancelledBefore(uid) == null && !job.gang() && !job.samePlace()
+                    && !job.apart() && job.awaits().stream().allMatch(this::allDone) && hasWaiting(job)
+                    && heldOrJustFreed(job.crew(), workers) + job.vcpus() <= settings.team(job.crew()).cpusMax()
+                    && workers.stream().anyMatch(worker -> worker.takes(job));
+            if (!could) {
+                couldBegin.remove(uid);
+            } else if (loop.now() - couldBegin.computeIfAbsent(uid, key -> loop.now()) > WAITING_MICROS) {
+                throw new Violation("left_waiting", uid + " has tasks that wait while there is room, since "
+                        + couldBegin.get(uid) / 1_000_000 + " s");
+            }
+        }
+    }
+
+    private double heldOrJustFreed(String crew, Collection<WorkerStandIn> workers) {
+        freed.removeIf(end -> loop.now() - end.micros > HEARD_MICROS);
+        return workers.stream().mapToDouble(worker -> worker.held(crew)).sum()
+                + freed.stream().filter(end -> end.crew.equals(crew)).mapToDouble(End::vcpus).sum();
+    }
+
+    /** How many teams have a task that waits and does not fit below their limit. */
+    int teamsAtLimit() {
+        return (int) settings.teams().stream().filter(this::atLimit).count();
+    }
+
+    private boolean atLimit(Team team) {
+        double room = team.cpusMax() - used(team.name());
+        for (String uid : accepted.keySet()) {
+            JobDescription job = submitted.get(uid);
+            if (job.crew().equals(team.name()) && !isOver(uid) && job.vcpus() > room && hasWaiting(job)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** The machine that has the task, or null. */
+    WorkerStandIn machineOf(TaskId task) {
+        return on.get(task);
+    }
+
+    double used(String crew) {
+        double cpus = 0;
+        for (TaskId running : on.keySet()) {
+            JobDescription job = submitted.get(running.uid());
+            cpus += job.crew().equals(crew) ? job.vcpus() : 0;
+        }
+        return cpus;
+    }
+
     int tasksIn(String yard) {
         return (int) on.values().stream().filter(worker -> worker.yard.equals(yard)).count();
     }
@@ -138,6 +244,9 @@
 
     /** An answer to a request that was sent at the given time: it may be older than what was told after that. */
     void answered(String request, String uid, long sent, int status, Map<String, Object> body) {
+        if ((status == 200 || status == 201) && unfit.contains(uid)) {
+            throw new Violation("accepted_unfit", request + " " + uid + " " + status);
+        }
         boolean known = submitted.containsKey(uid);
         if (status == 200 && !known) {
             throw new Violation("invented", uid);
@@ -156,12 +265,13 @@
         if (status != 200 && status != 201) {
             return;
         }
-        if (request.equals("submit")) {
-            accepted.putIfAbsent(uid, loop.now());
-        }
+        // Whoever answers so has told that it is accepted, also if no answer to the submission ever came.
+        accepted.putIfAbsent(uid, loop.now());
         String said = (String) body.get("status");
         String before = toldFinal.get(uid);
-        if (before != null && toldFinalAt.get(uid) < sent && !before.equals(said)) {
+        boolean end = said.equals("done") || said.equals("cancelled");
+        // Only an answer that is not final may be older, and only to a request from before the end was told.
+        if (before != null && !before.equals(said) && (end || toldFinalAt.get(uid) < sent)) {
             throw new Violation("went_back", uid + " was " + before + " and is " + said);
         }
         if (said.equals("queued") || said.equals("running")) {
--- a/src/test/java/org/woadloom/sim/WorkerStandIn.java
+++ b/src/test/java/org/woadloom/sim/WorkerStandIn.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.woadloom.wire.JobDescription;
 import org.woadloom.wire.TaskId;
 import org.woadloom.wire.WireException;
@@ -46,6 +48,12 @@
     long deafUntil;
     /** Commands reach it until then, and nothing that it says arrives. */
     long muteUntil;
+    /** It can't open connections to any node until then; commands reach it, and their answers arrive. */
+    long closedInUntil;
+    /** Its running tasks that were killed because its lease ended. */
+    int killedByLease;
+    /** Tasks that began here. */
+    int started;
     /** The highest token that it was sent, whether it arrived or not. */
     long tokenSent;
 
@@ -103,10 +111,22 @@
         return world.loop.now() < muteUntil;
     }
 
+    boolean closedIn() {
+        return world.loop.now() < closedInUntil;
+    }
+
+    /** The tasks that run here. */
+    Set<TaskId> running() {
+        Set<TaskId> running = new LinkedHashSet<>();
+        tasks.values().stream().filter(task -> task.status.equals("running")).forEach(task -> running.add(task.id));
+        return running;
+    }
+
     private void checkLease() {
         if (world.loop.now() - leaseFrom > world.settings.workers().leaseMicros()) {
             for (Task task : tasks.values()) {
                 world.truth.killedByLease += task.status.equals("running") ? 1 : 0;
+                killedByLease += task.status.equals("running") ? 1 : 0;
                 world.truth.ended(task.id, this, false);
             }
             tasks.clear();
@@ -182,11 +202,27 @@
         });
     }
 
+    /** Whether one more task of the job may be put here, and has room. */
+    boolean takes(JobDescription job) {
+        double used = 0;
+        for (Task task : tasks.values()) {
+            used += task.status.equals("exited") ? 0 : world.truth.submitted.get(task.id.uid()).vcpus();
+        }
+        return !dead && !hung() && !deaf() && !mute() && used + job.vcpus() <= vcpus + 1e-6 && fits(job);
+    }
+
+    boolean fits(JobDescription job) {
+        return (job.hosttypes() == null || job.hosttypes().contains(hosttype)) && (job.yard() == null || job.yard().equals(yard))
+                && (!reclaimable || job.reclaimable());
+    }
+
     /** A direct command as it arrives, perhaps late. */
     Object[] direct(Map<String, Object> body) {
         checkLease();
         long token = (Long) body.get("epoch");
         if (token < epoch || (Long) body.get("tenure") != tenure) {
+            // The protocol says the highest token it has seen: every other worker has seen that of a refused command, too.
+            epoch = host.hashCode() % 2 == 0 ? Math.max(epoch, token) : epoch;
             return new Object[] {409, body()};
         }
         epoch = token;
@@ -223,11 +259,33 @@
         }
     }
 
+    /** How many processors no task of its holds. */
+    double free() {
+        double free = vcpus;
+        for (Task task : tasks.values()) {
+            free -= task.status.equals("exited") ? 0 : world.truth.submitted.get(task.id.uid()).vcpus();
+        }
+        return free;
+    }
+
+    /** How many processors tasks of the team hold here, those that wait for their image among them. */
+    double held(String crew) {
+        double held = 0;
+        for (Task task : tasks.values()) {
+            JobDescription job = world.truth.submitted.get(task.id.uid());
+            held += !task.status.equals("exited") && job.crew().equals(crew) ? job.vcpus() : 0;
+        }
+        return held;
+    }
+
     private void launch(TaskId id, long attempt, Task present) {
-        if (present != null && present.attempt == attempt) {
+        if (present != null && present.attempt == attempt || world.isBroken(Day.Flaw.ONE_JOB_NOT_TAKEN) && id.uid().endsWith("7")) {
             return;
         }
         JobDescription job = world.truth.submitted.get(id.uid());
+        if (job == null) {
+            throw new Violation("accepted_unfit", id + " is started");
+        }
         Task task = new Task(id, attempt);
         if (present != null && !present.status.equals("exited")) {
             // The refused attempt can't be listed beside the other one in this stand-in; the leader must not get here.
@@ -264,6 +322,7 @@
             return;
         }
         world.truth.started(task.id, this);
+        started++;
         task.status = "running";
         changed = true;
         if (!job.service()) {
--- a/src/test/java/org/woadloom/sim/World.java
+++ b/src/test/java/org/woadloom/sim/World.java
@@ -28,6 +28,11 @@
 
     final SimLoop loop = new SimLoop();
     final Random random;
+    /** Of the troubles that are off unless asked for: a day without them draws the same from {@link #random} as ever. */
+    private final Random more;
+    private final UserTroubles userTroubles;
+    private final StateTroubles stateTroubles;
+    private final KeptReports keptReports;
     final ServiceSettings settings;
     final Truth truth;
     private final StateStandIn state;
@@ -42,6 +47,8 @@
     private boolean peersRefused;
     /** The node that the state service refuses, or -1. */
     private int refusedByState = -1;
+    /** A second one. */
+    private int alsoRefused = -1;
     /** Nobody is told by a peer which jobs it has just changed. */
     boolean hintsLost;
     /** How many of a hundred transactions get no answer and are carried out 2 to 12 s later, after newer ones. */
@@ -70,6 +77,25 @@
     final boolean[] namesOneMore = new boolean[NODES];
     /** Nodes that told the leader that they took care of workers. */
     final boolean[] tookCare = new boolean[NODES];
+    /** Answers after which users looked closely. */
+    int closeLooks;
+    int oddRequestsMade;
+    int cancelledAtEnd;
+    int oneTaskJobsMade;
+    int oneTaskJobsCancelled;
+    /** Transactions that were carried out and whose answer was lost. */
+    int lostAnswersMade;
+    /** Those after which another node read jobs before the one that wrote had given up. */
+    int lostAnswersReadElsewhere;
+    /** Copies that came to a node after the term had changed. */
+    int keptCopies;
+    /** Machines that were up within two seconds. */
+    int quickBoots;
+    int leadersEndedInOutages;
+    /** The service is broken at its store from this moment on. */
+    long brokenFrom;
+    private long slowLinksMicros;
+    private long slowLinksUntil;
     private int jobs;
 
     /** One node and the life of its process. */
@@ -79,6 +105,8 @@
         /** What the process is a stand-in for. */
         Version version;
         int life;
+        /** The process stands still until then: whatever comes to it waits. */
+        long frozenUntil;
         Node node;
         Peers peers;
 
@@ -89,6 +117,7 @@
         void start() {
             int mine = ++life;
             alive = true;
+            frozenUntil = 0;
             NodeLoop nodeLoop = new NodeLoop(this, mine);
             peers = new Peers(this, mine);
             node = new Node(nodeLoop, (address, method, path, body, timeout, callback) -> fromNode(this, mine, address,
@@ -105,6 +134,15 @@
         boolean lives(int mine) {
             return alive && life == mine;
         }
+
+        /** Does it once the process goes on, if that is there still. */
+        void whenAwake(int mine, Runnable task) {
+            if (lives(mine) && loop.now() < frozenUntil) {
+                loop.at(frozenUntil, () -> whenAwake(mine, task));
+            } else if (lives(mine)) {
+                task.run();
+            }
+        }
     }
 
     private final class NodeLoop implements Loop {
@@ -133,11 +171,13 @@
 
         @Override
         public Timer schedule(long delayMicros, Runnable task) {
-            return loop.after(delayMicros, () -> {
-                if (member.lives(mine)) {
+            boolean[] cancelled = {false};
+            loop.after(delayMicros, () -> member.whenAwake(mine, () -> {
+                if (!cancelled[0]) {
                     task.run();
                 }
-            });
+            }));
+            return () -> cancelled[0] = true;
         }
     }
 
@@ -163,6 +203,10 @@
             if (!member.lives(mine)) {
                 return;
             }
+            if (loop.now() < member.frozenUntil) {
+                loop.at(member.frozenUntil, this::poll);
+                return;
+            }
             for (Member other : members) {
                 if (other == null || other == member) {
                     continue;
@@ -231,25 +275,30 @@
             byte[] frame = codec.encode(sent);
             byte[] content = java.util.Arrays.copyOfRange(frame, 4, frame.length);
             int life = other.life;
-            loop.after(random.nextInt(1000) < trouble ? random.nextInt(40_000_000) : delay(), () -> {
-                if (other.lives(life) && other.peers.listener != null) {
+            loop.after(random.nextInt(1000) < trouble ? random.nextInt(40_000_000) : delay(), () -> other.whenAwake(life, () -> {
+                if (other.peers.listener != null) {
                     try {
                         other.peers.listener.received(label(member.index), codec.decode(content));
                     } catch (PeerFormatException e) {
                         throw new IllegalStateException(e);
                     }
                 }
-            });
+            }));
         }
     }
 
     World(long seed, Day day) {
         random = new Random(seed);
+        more = new Random(~seed);
         this.day = day;
         settings = settingsOf(0, day, day.real(), false);
         truth = new Truth(loop, settings);
+        userTroubles = new UserTroubles(this, more);
+        truth.lastTaskEnded = userTroubles::lastTaskEnded;
+        stateTroubles = new StateTroubles(this, more);
+        keptReports = new KeptReports(this, more);
         state = new StateStandIn(loop, settings.state());
-        cloud = new CloudStandIn(this);
+        cloud = new CloudStandIn(this, more);
         if (day.flaw() == Day.Flaw.AGREED_TOO_EARLY) {
             state.handle("POST", "/txn", Map.of("if", List.of(), "then", List.of(Map.of("put", "version/agreed", "value",
                     Map.of("version", 3L)))), (status, answer) -> {
@@ -263,6 +312,14 @@
             loop.after(random.nextInt(500_000), member::start);
         }
         agreeAsVersion3();
+        lookForWaiting();
+    }
+
+    private void lookForWaiting() {
+        loop.after(2_000_000, () -> {
+            truth.checkWaiting(cloud.machines.values());
+            lookForWaiting();
+        });
     }
 
     /** Any node of version 3 writes the agreement once all nodes have said, at any time, that they run it. */
@@ -283,6 +340,10 @@
         });
     }
 
+    boolean isBroken(Day.Flaw flaw) {
+        return day.flaw() == flaw;
+    }
+
     static String label(int index) {
         return "node-" + index;
     }
@@ -291,9 +352,12 @@
         return Integer.parseInt(label.substring(5));
     }
 
-    private static List<Team> teams(int crowd) {
+    private static List<Team> teams(Day day) {
+        if (day.tight()) {
+            return List.of(new Team("red", 12, 20, 0, 0), new Team("blue", 8, 12, 0, 0));
+        }
         List<Team> teams = new ArrayList<>(List.of(new Team("red", 40, 60, 0, 0), new Team("blue", 24, 30, 0, 0)));
-        for (int i = 0; i < crowd; i++) {
+        for (int i = 0; i < day.crowd(); i++) {
             teams.add(new Team("crowd-" + i, 8, i == 0 ? 60 : 20, 0, 0));
         }
         return teams;
@@ -310,7 +374,7 @@
             peers.add(new Peer(label(NODES), "b", "node-" + NODES + ":1"));
         }
         return new ServiceSettings(label(index), day.yardOf(index), "0:1", "0:2", peers, "cloud", "state", day.zoneNames(),
-                teams(day.crowd()), List.of(),
+                teams(day), List.of(),
                 new ServiceSettings.Workers(1_500_000, times.leaseMicros(), times.cancelMicros()),
                 new ServiceSettings.State(400, 200, 8192, 12,
                         new ServiceSettings.State(400, 60, 1500, 4, null)), new ServiceSettings.Cloud(8, 3_000_000),
@@ -318,50 +382,101 @@
     }
 
     private long delay() {
-        return 200 + random.nextInt(random.nextInt(20) == 0 ? 80_000 : 4_000);
+        long slow = loop.now() < slowLinksUntil ? more.nextLong(slowLinksMicros + 1) : 0;
+        return 200 + random.nextInt(random.nextInt(20) == 0 ? 80_000 : 4_000) + slow;
     }
 
     private void fromNode(Member member, int mine, String address, String method, String path, byte[] body,
             long timeout, HttpTransport.Callback callback) {
-        carry(timeout, (status, answer) -> {
-            if (member.lives(mine)) {
-                callback.answered(status, status > 0 ? Cbor.encode(answer) : new byte[0]);
-            }
-        }, respond -> {
+        carry(timeout, (status, answer) -> member.whenAwake(mine, () ->
+                callback.answered(status, status > 0 ? Cbor.encode(answer) : new byte[0])), reply -> {
             Map<String, Object> map = decode(body);
-            if (yardOf(member.index).equals(island)) {
-                // Held back, and executed when the zone is back.
-                loop.after(1_000_000, () -> fromNodeHeld(member, mine, address, method, path, map, respond));
-            } else if (address.equals("state") && member.index == isolated) {
-                // What was sent is executed when the way is open again.
-                loop.after(1_000_000, () -> fromNodeHeld(member, mine, address, method, path, map, respond));
-            } else if (address.equals("state") && member.index == refusedByState) {
-                respond.answer(503, Map.of("error", "trouble"));
-            } else if (address.equals("state") && member.version != Version.NOW) {
-                toStateAsOld(member, mine, method, path, map, respond);
-            } else if (address.equals("state")) {
-                if (day.flaw() == Day.Flaw.ONE_JOB_REFUSED && map.isEmpty() && path.startsWith("/keys/job/j-") && path.endsWith("7")) {
+            if (address.equals("state")) {
+                stateTroubles.meet(member.index, path, reply, respond -> arrived(member, mine, address, method, path, map, respond));
+            } else {
+                arrived(member, mine, address, method, path, map, reply);
+            }
+        });
+    }
+
+    /** What a node sent has come to where it is to be answered. */
+    private void arrived(Member member, int mine, String address, String method, String path, Map<String, Object> map,
+            StateStandIn.Answer respond) {
+        if (address.equals("state") && broken(path, map, respond)) {
+            return;
+        }
+        if (yardOf(member.index).equals(island)) {
+            // Held back, and executed when the zone is back.
+            loop.after(1_000_000, () -> fromNodeHeld(member, mine, address, method, path, map, respond));
+        } else if (address.equals("state") && member.index == isolated) {
+            // What was sent is executed when the way is open again.
+            loop.after(1_000_000, () -> fromNodeHeld(member, mine, address, method, path, map, respond));
+        } else if (address.equals("state") && refused(member)) {
+            respond.answer(503, Map.of("error", "trouble"));
+        } else if (address.equals("state") && member.version != Version.NOW) {
+            toStateAsOld(member, mine, method, path, map, respond);
+        } else if (address.equals("state")) {
+            if (path.equals("/txn") && random.nextInt(100) < lateWrites) {
+                loop.after(2_000_000 + random.nextInt(10_000_000), () -> carriedOutLate(member, map));
+                return;
+            }
+            StateStandIn.Answer watch = path.startsWith("/follow") ? (status, answer) -> unlessRefused(member, status,
+                    day.flaw() == Day.Flaw.ONE_JOB_REFUSED ? withoutOneJob(answer) : answer, respond) : respond;
+            state.handle(method, path, map, day.flaw() == Day.Flaw.FORGETS_AWAITS ? (status, answer) -> watch.answer(status,
+                    ProductionFilter.withoutAwaits(answer)) : watch);
+        } else if (address.equals("cloud")) {
+            loop.after(150_000, () -> cloud.handle(method, path, map, respond));
+        } else {
+            toWorker(member, address, map, respond);
+        }
+    }
+
+    private static Map<String, Object> withoutOneJob(Map<String, Object> answer) {
+        Map<String, Object> without = new LinkedHashMap<>(answer);
+        without.computeIfPresent("events", (name, events) -> ((List<?>) events).stream().filter(event -> ((Map<?, ?>) event).values()
+                .stream().noneMatch(path -> path instanceof String text && text.startsWith("job/j-") && text.endsWith("7"))).toList());
+        return without;
+    }
+
+    /** Where the service is broken on purpose at its store: true if that is what answers. */
+    private boolean broken(String path, Map<String, Object> body, StateStandIn.Answer respond) {
+        boolean job = path.startsWith("/keys/job/j-");
+        if (loop.now() < brokenFrom) {
+            return false;
+        }
+        switch (day.flaw()) {
+            case ONE_JOB_REFUSED -> {
+                if (job && path.endsWith("7")) {
                     respond.answer(503, Map.of("error", "trouble"));
-                    return;
+                    return true;
                 }
-                if (path.equals("/txn") && random.nextInt(100) < lateWrites) {
-                    loop.after(2_000_000 + random.nextInt(10_000_000), () -> carriedOutLate(member, map));
-                    return;
+            }
+            case UNSEEN_RECORDS -> {
+                if (job && random.nextInt(20) == 0) {
+                    respond.answer(404, Map.of("generation", 0L));
+                    return true;
                 }
-                StateStandIn.Answer watch = path.startsWith("/follow") ? (status, answer) -> unlessRefused(member, status, answer, respond)
-                        : respond;
-                state.handle(method, path, map, day.flaw() == Day.Flaw.FORGETS_AWAITS ? (status, answer) -> watch.answer(status,
-                        ProductionFilter.withoutAwaits(answer)) : watch);
-            } else if (address.equals("cloud")) {
-                loop.after(150_000, () -> cloud.handle(method, path, map, respond));
-            } else {
-                toWorker(member, address, map, respond);
             }
-        });
+            case OLD_CHANGES -> {
+                if (path.startsWith("/follow?") && path.endsWith("blockMs=0") && random.nextBoolean()) {
+                    long since = Long.parseLong(path.replaceAll(".*since=(\\d+)&.*", "$1"));
+                    respond.answer(200, Map.of("generation", since, "events", List.of()));
+                    return true;
+                }
+            }
+            case NO_CONDITIONS -> {
+                if (path.equals("/txn")) {
+                    body.put("if", List.of());
+                }
+            }
+            default -> {
+            }
+        }
+        return false;
     }
 
     private void carriedOutLate(Member member, Map<String, Object> txn) {
-        if (state.down || member.index == refusedByState) {
+        if (state.down || refused(member)) {
             loop.after(500_000, () -> carriedOutLate(member, txn));
         } else {
             state.handle("POST", "/txn", txn, (status, answer) -> lateWritesMade[status == 200 ? 0 : 1]++);
@@ -370,7 +485,7 @@
 
     /** A watch that is open waits while the state service refuses its node, as in an outage. */
     private void unlessRefused(Member member, int status, Map<String, Object> answer, StateStandIn.Answer respond) {
-        if (member.index == refusedByState) {
+        if (refused(member)) {
             loop.after(100_000, () -> unlessRefused(member, status, answer, respond));
         } else {
             respond.answer(status, answer);
@@ -446,6 +561,14 @@
         }
     }
 
+    private static Map<String, Object> filledIn(Map<String, Object> job) {
+        try {
+            return JobDescription.parse(job).toMap();
+        } catch (WireException e) {
+            return job;
+        }
+    }
+
     /** A worker's or a user's request to a node. */
     void toNode(String from, int index, String method, String path, Map<String, Object> body, long timeout,
             StateStandIn.Answer callback) {
@@ -463,7 +586,7 @@
             loop.after(timeout, () -> callback.answer(HttpTransport.NO_RESPONSE, Map.of()));
             return;
         }
-        if (worker != null && worker.mute()) {
+        if (worker != null && (worker.mute() || worker.closedIn())) {
             loop.after(timeout, () -> callback.answer(HttpTransport.NO_RESPONSE, Map.of()));
             return;
         }
@@ -471,12 +594,16 @@
         if (worker != null && worker.deaf() && day.flaw() == Day.Flaw.DEAF_SEEM_TO_HEAR) {
             body.put("epoch", Math.max((Long) body.get("epoch"), worker.tokenSent));
         }
-        byte[] bytes = body == null ? new byte[0] : Cbor.encode(body);
+        boolean fillsIn = day.flaw() == Day.Flaw.FILLS_IN_WHAT_IS_MISSING && path.equals("/v1/jobs");
+        byte[] bytes = body == null ? new byte[0] : Cbor.encode(fillsIn ? filledIn(body) : body);
         if (worker != null && random.nextInt(100) < copies) {
             copy(body);
         }
+        if (worker != null) {
+            keptReports.sent(body);
+        }
         carry(timeout, callback, respond -> {
-            if (member.lives(life)) {
+            member.whenAwake(life, () ->
                 member.node.router().handle(method, path, bytes, response -> {
                     Map<String, Object> answer = decode(response.body());
                     if (worker != null && answer.get("epoch") instanceof Long token) {
@@ -485,26 +612,34 @@
                     if (worker == null || !worker.deaf()) {
                         respond.answer(response.status(), answer);
                     }
-                });
-            }
+                }));
         });
     }
 
     /** The same report arrives again, when its worker may be gone, and whoever answers it answers nobody. */
     private void copy(Map<String, Object> report) {
+        byte[] bytes = copyOf(report);
+        loop.after(500_000 + random.nextInt(random.nextBoolean() ? 5_000_000 : 60_000_000),
+                () -> oldCopies += arrivesAgain(random.nextInt(NODES), bytes) ? 1 : 0);
+    }
+
+    byte[] copyOf(Map<String, Object> report) {
         Map<String, Object> again = new LinkedHashMap<>(report);
         if (day.flaw() == Day.Flaw.COPIES_LOOK_NEW) {
             again.put("tick", (Long) report.get("tick") + 1_000);
         }
-        byte[] bytes = Cbor.encode(again);
-        loop.after(500_000 + random.nextInt(random.nextBoolean() ? 5_000_000 : 60_000_000), () -> {
-            Member member = members[random.nextInt(NODES)];
-            if (member.alive && !yardOf(member.index).equals(island)) {
-                oldCopies++;
-                member.node.router().handle("POST", "/v1/report", bytes, response -> {
-                });
-            }
+        return Cbor.encode(again);
+    }
+
+    /** False if it comes to a node that is not there, or out of reach. */
+    boolean arrivesAgain(int index, byte[] report) {
+        Member member = members[index];
+        if (!member.alive || yardOf(index).equals(island)) {
+            return false;
+        }
+        member.node.router().handle("POST", "/v1/report", report, response -> {
         });
+        return true;
     }
 
     private interface Delivery {
@@ -556,7 +691,7 @@
         });
     }
 
-    private String newUid() {
+    String newUid() {
         return String.format("j-%06d", jobs++);
     }
 
@@ -588,6 +723,8 @@
         map.put("apart", service && map.get("yard") == null && !(Boolean) map.get("samePlace"));
         map.put("reclaimable", !service);
         map.put("runtimeS", service ? 0.0 : 2.0 + random.nextInt(15));
+        map.put("snapshotEveryS", 0.0);
+        map.put("snapshotCostS", 0.0);
         if (!awaits.isEmpty()) {
             map.put("awaits", awaits);
         }
@@ -610,14 +747,14 @@
         return random.nextBoolean() ? "crowd-0" : settings.teams().get(random.nextInt(settings.teams().size())).name();
     }
 
-    private interface Runnable1 {
+    interface Runnable1 {
         void accepted(String uid);
     }
 
-    private void submit(String uid, Map<String, Object> job, long until, Runnable1 accepted) {
+    void submit(String uid, Map<String, Object> job, long until, Runnable1 accepted) {
         long sent = loop.now();
         toNode("users", random.nextInt(NODES), "POST", "/v1/jobs", job, 5_000_000, (status, body) -> {
-            truth.answered("submit", uid, sent, status, body);
+            answered("submit", uid, sent, status, body);
             if (status == 200 || status == 201) {
                 poll(uid);
                 accepted.accepted(uid);
@@ -702,11 +839,17 @@
     private void poll(String uid) {
         long sent = loop.now();
         toNode("users", random.nextInt(NODES), "GET", "/v1/jobs/" + uid, null, 2_000_000, (status, body) -> {
-            truth.answered("poll", uid, sent, status, body);
+            answered("poll", uid, sent, status, body);
             loop.after(truth.isOver(uid) && status == 200 ? 40_000_000 : 3_000_000, () -> poll(uid));
         });
     }
 
+    /** What a user was told. */
+    void answered(String request, String uid, long sent, int status, Map<String, Object> body) {
+        truth.answered(request, uid, sent, status, body);
+        userTroubles.told(uid, status);
+    }
+
     void cancel(String uid) {
         cancel(uid, loop.now() + 70_000_000);
     }
@@ -717,7 +860,7 @@
         long sent = loop.now();
         toNode("users", random.nextInt(NODES), "POST", "/v1/jobs/" + uid + "/cancel", Map.of(), 5_000_000,
                 (status, body) -> {
-                    truth.answered("cancel", uid, sent, status, body);
+                    answered("cancel", uid, sent, status, body);
                     if (status != 200 && (status != 404 || loop.now() < unknownUntil)) {
                         loop.after(1_000_000, () -> cancel(uid, unknownUntil));
                     }
@@ -745,7 +888,26 @@
     }
 
     private void fault() {
-        switch (random.nextInt(25)) {
+        switch (random.nextInt(36)) {
+            case 25 -> lookClosely(5_000_000 + random.nextInt(25_000_000));
+            case 26 -> oddRequests(5_000_000 + random.nextInt(25_000_000));
+            case 27 -> loseAnswers(5 + random.nextInt(40), random.nextInt(40_000_000));
+            case 28 -> {
+                keepForNextLeader(5 + random.nextInt(30), 1_000_000 + random.nextInt(20_000_000));
+                loop.after(random.nextInt(25_000_000), () -> endLeader(50_000 + random.nextInt(3_000_000)));
+            }
+            case 29 -> cancelNow(1 + random.nextInt(8), random.nextBoolean() ? 0 : random.nextInt(25_000_000));
+            case 30 -> cancelAtEnd(20 + random.nextInt(60), random.nextInt(40_000_000));
+            case 31 -> mute(yardOf(random.nextInt(NODES)), 1 + random.nextInt(3), random.nextInt(40_000_000));
+            case 32 -> quickMachines(random.nextInt(40_000_000));
+            case 33 -> slowState(random.nextInt(1_500_000), random.nextInt(30_000_000));
+            case 34 -> oneTaskJobs(1 + random.nextInt(4), random.nextInt(20_000_000), 25);
+            case 35 -> {
+                int away = 1 + random.nextInt(15);
+                for (int node = 0; node < NODES; node++) {
+                    end(node, away * 1_000_000L + random.nextInt(1_000_000));
+                }
+            }
             case 24 -> writeLate(5 + random.nextInt(40), random.nextInt(40_000_000));
             case 22, 23 -> gap(1_000_000 + random.nextInt(4_000_000), 10_000_000 + random.nextInt(60_000_000));
             case 16, 17 -> anyWorker(worker -> worker.deafUntil = loop.now() + random.nextInt(40_000_000));
@@ -861,6 +1023,80 @@
         return answered[0];
     }
 
+    // Troubles that are off unless asked for.
+
+    /** Right after each answer that a job was accepted, ended or cancelled, users ask all nodes about it several times. */
+    void lookClosely(long forMicros) {
+        userTroubles.lookClosely(loop.now() + forMicros);
+    }
+
+    /** Users repeat what is known, and ask for what can't be. */
+    void oddRequests(long forMicros) {
+        userTroubles.oddRequests(loop.now() + forMicros);
+    }
+
+    /** So many running jobs are called off within 0.2 s, and up to eight of their machines hang; returns how many. */
+    int cancelNow(int count, long hangMicros) {
+        return userTroubles.cancelNow(count, hangMicros);
+    }
+
+    /** So many of a hundred jobs are called off as their last task ends. */
+    void cancelAtEnd(int ofHundred, long forMicros) {
+        userTroubles.cancelAtEnd(ofHundred, loop.now() + forMicros);
+    }
+
+    void oneTaskJobs(int perSecond, long forMicros, int ofHundredCancelled) {
+        userTroubles.oneTaskJobs(perSecond, loop.now() + forMicros, ofHundredCancelled);
+    }
+
+    /** So many of a hundred transactions are carried out at once and get no answer. */
+    void loseAnswers(int ofHundred, long forMicros) {
+        stateTroubles.loseAnswers(ofHundred, loop.now() + forMicros);
+    }
+
+    /** Every request to the state service takes up to so much longer. */
+    void slowState(long extraMicros, long forMicros) {
+        stateTroubles.slow(extraMicros, loop.now() + forMicros);
+    }
+
+    /** Of so many of a hundred reports a copy comes to every node once the term has changed. */
+    void keepForNextLeader(int ofHundred, long forMicros) {
+        keptReports.keep(ofHundred, loop.now() + forMicros);
+    }
+
+    /** Nothing that one in so many of a zone's machines say arrives for a while; commands reach them. */
+    void mute(String zone, int oneIn, long forMicros) {
+        int count = 0;
+        for (WorkerStandIn worker : cloud.machines.values()) {
+            if (worker.yard.equals(zone) && count++ % oneIn == 0) {
+                worker.muteUntil = loop.now() + forMicros;
+            }
+        }
+    }
+
+    /** Machines are up 0.3 to 2 s after they were asked for, also before that is answered. */
+    void quickMachines(long forMicros) {
+        cloud.quickUntil = loop.now() + forMicros;
+    }
+
+    /** Whatever is sent takes up to so much longer. */
+    void slowLinks(long extraMicros, long forMicros) {
+        slowLinksMicros = extraMicros;
+        slowLinksUntil = loop.now() + forMicros;
+    }
+
+    /** All machines but so many die, and the cloud has no more. */
+    void littleRoom(int machines, long forMicros) {
+        cloud.machines.values().stream().skip(machines).forEach(WorkerStandIn::die);
+        cloud.capacity = machines;
+        loop.after(forMicros, () -> cloud.capacity = CloudStandIn.CAPACITY);
+    }
+
+    /** How many terms were taken. */
+    int leaderChanges() {
+        return state.value("term") == null ? 0 : (int) term();
+    }
+
     /** Writes a key of the state service, as an operator or another program might. */
     void put(String path, Map<String, Object> value) {
         if (state.down) {
@@ -897,6 +1133,16 @@
         }
     }
 
+    private boolean refused(Member member) {
+        return member.index == refusedByState || member.index == alsoRefused;
+    }
+
+    /** The state service refuses this node beside the one that it refuses already. */
+    void refuseStateToo(int index, long forMicros) {
+        alsoRefused = index;
+        loop.after(forMicros, () -> alsoRefused = -1);
+    }
+
     /** The state service refuses this node alone. */
     void refuseState(int index, long forMicros) {
         refusedByState = index;
@@ -933,6 +1179,11 @@
         loop.after(forMicros, () -> peersRefused = false);
     }
 
+    /** The node's process stands still for a while, and then goes on with what it believed. */
+    void freeze(int index, long forMicros) {
+        members[index].frozenUntil = loop.now() + forMicros;
+    }
+
     /** The node loses the state service and the other nodes; workers and users still reach it. */
     void isolate(int index, long forMicros) {
         if (isolated < 0) {
@@ -941,6 +1192,10 @@
         }
     }
 
+    boolean isIsolated(int index) {
+        return isolated == index;
+    }
+
     /** Nothing reaches one in so many of a zone's machines for a while, and their reports arrive. */
     void deafen(String yard, int oneIn, long forMicros) {
         int count = 0;
@@ -1026,6 +1281,18 @@
         return (Long) state.value("term").get("term");
     }
 
+    /** Every few seconds the leader's process ends, and another begins at once. */
+    void endLeaders(long forMicros) {
+        long until = loop.now() + forMicros;
+        loop.after(2_000_000 + more.nextInt(3_000_000), () -> {
+            if (loop.now() < until) {
+                leadersEndedInOutages += state.down && state.value("leader") != null && members[leader()].alive ? 1 : 0;
+                endLeader(50_000 + more.nextInt(400_000));
+                endLeaders(until - loop.now());
+            }
+        });
+    }
+
     /** The same of the node that leads, if there is one. */
     void endLeader(long forMicros) {
         if (state.value("leader") != null) {
@@ -1047,6 +1314,22 @@
         }
     }
 
+    /** So many of a hundred rentals and deletions get no answer and are carried out seconds later, perhaps after their leader. */
+    void cloudLate(int ofHundred, long forMicros) {
+        cloud.lateOfHundred = ofHundred;
+        loop.after(forMicros, () -> cloud.lateOfHundred = 0);
+    }
+
+    /** Machines that were rented when the leader that had asked for them led no more. */
+    List<String> unexpectedMachines() {
+        return cloud.unexpected;
+    }
+
+    /** Machines that were deleted when the leader that had asked for it led no more. */
+    int deletedForOthers() {
+        return cloud.deletedForOthers;
+    }
+
     private void anyWorker(java.util.function.Consumer<WorkerStandIn> what) {
         List<WorkerStandIn> workers = new ArrayList<>(cloud.machines.values());
         if (!workers.isEmpty()) {
