A failing test for jobs unanswered after a store outage or a restart of all nodes

What callers saw: at about 4,000 machines, questions about accepted jobs got no answer for more than a minute although all troubles were over.

The test has three nodes under the smaller deployment's store limits (150 requests a second), 12,000 open jobs, each polled every five seconds at the nodes in turn, and the stated bound of 75 s.

The simulated store can give pages as large as the protocol allows; the default stays at seven entries.

--- a/src/test/java/org/woadloom/sim/SimulatedStore.java
+++ b/src/test/java/org/woadloom/sim/SimulatedStore.java
@@ -16,6 +16,11 @@
 
 /** The state service, written from the protocol. */
 final class SimulatedStore {
+    /** Entries of a page by default: few, so that readers meet the second one. */
+    private static final int SMALL_PAGE = 7;
+
+    private static final int FULL_PAGE = 1_000;
+
     private record Entry(Object value, long revision, long storeLease) {}
 
     private record Change(String path, Object value, long revision) {}
@@ -30,6 +35,7 @@
     private final List<Runnable> watchers = new ArrayList<>();
     private long generation;
     private long grantIds;
+    private int pageEntries = SMALL_PAGE;
     boolean down;
 
     SimulatedStore(SimulatedEventLoop loop, ServiceSettings.Store limits) {
@@ -37,6 +43,12 @@
         this.limits = limits;
     }
 
+    /** Gives as many entries on a page as the protocol allows. */
+    SimulatedStore withFullPages() {
+        pageEntries = FULL_PAGE;
+        return this;
+    }
+
     interface Answer {
         void answer(int status, Map<String, Object> body);
     }
@@ -214,8 +226,7 @@
     private void list(String path, Answer answer) {
         String prefix = parameter(path, "prefix");
         String since = parameter(path, "since");
-        // Small pages, so that readers meet the second one.
-        int most = Math.min(7, Integer.parseInt(parameter(path, "most")));
+        int most = Math.min(pageEntries, Integer.parseInt(parameter(path, "most")));
         List<Object> items = new ArrayList<>();
         boolean more = false;
         for (Map.Entry<String, Entry> entry :
--- /dev/null
+++ b/src/test/java/org/woadloom/sim/StatusRecoveryTest.java
@@ -0,0 +1,300 @@
+package org.woadloom.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import org.woadloom.http.JobApi;
+import org.woadloom.net.HttpTransport;
+import org.woadloom.protocol.Cbor;
+import org.woadloom.protocol.JobDescription;
+import org.woadloom.protocol.MachineType;
+import org.woadloom.protocol.MalformedMessageException;
+import org.woadloom.settings.Peer;
+import org.woadloom.settings.ServiceSettings;
+import org.woadloom.store.JobRecord;
+import org.woadloom.store.RecordFormat;
+import org.woadloom.store.StoreClient;
+import org.woadloom.store.StoreLimits;
+
+/**
+ * The open jobs of some 4,000 machines are polled at three nodes in turn, before and after the
+ * nodes can't read the store or are all restarted.
+ */
+class StatusRecoveryTest {
+    private static final long SECOND = 1_000_000;
+    private static final int NODES = 3;
+    private static final int JOBS = 12_000;
+    private static final long POLL_INTERVAL = 5 * SECOND;
+    private static final long USER_TIMEOUT = 2 * SECOND;
+
+    /** A job without an answer for longer, once all troubles are over, counts as forgotten. */
+    private static final long MAX_UNANSWERED = 75 * SECOND;
+
+    /** Longer than a node may miss changes at these limits: 25 s. */
+    private static final long OUTAGE = 30 * SECOND;
+
+    private static final int LOADED_PER_SECOND = 20;
+    private static final long CALM = 20 * SECOND;
+    private static final int OK = 200;
+    private static final int TOO_MANY_REQUESTS = 429;
+    private static final ServiceSettings.Store LIMITS =
+            new ServiceSettings.Store(150, 60, 8192, 12, null);
+    private static final ServiceSettings.Store NO_LIMITS =
+            new ServiceSettings.Store(1_000_000, 1_000_000, 8192, 12, null);
+
+    private final SimulatedEventLoop sim = new SimulatedEventLoop();
+    private final SimulatedStore store = new SimulatedStore(sim, NO_LIMITS).withFullPages();
+    private final Random random = new Random(4);
+    private final List<JobApi> nodes = new ArrayList<>();
+    private final long[] lastAnswered = new long[JOBS];
+    private double requestTokens = LIMITS.rps();
+    private long requestTokensAt;
+    private int answers;
+    private int refusals;
+
+    StatusRecoveryTest() throws MalformedMessageException {
+        for (int job = 0; job < JOBS; job++) {
+            put(job);
+        }
+        startNodes();
+    }
+
+    private static String jobId(int job) {
+        return String.format("j-%06d", job);
+    }
+
+    private void put(int job) throws MalformedMessageException {
+        JobRecord record =
+                JobRecord.accepted(JobDescription.parse(LoopbackNode.job(jobId(job), "team")), 1);
+        Map<String, Object> put = new LinkedHashMap<>();
+        put.put("put", "job/" + jobId(job));
+        put.put("value", record.toMap(RecordFormat.COMPACT));
+        store.handle(
+                "POST",
+                "/txn",
+                Map.of("if", List.of(), "then", List.of(put)),
+                (status, answer) -> assertEquals(OK, status));
+    }
+
+    private void startNodes() {
+        nodes.clear();
+        for (int node = 0; node < NODES; node++) {
+            nodes.add(startNode(node));
+        }
+    }
+
+    private JobApi startNode(int index) {
+        ServiceSettings settings = settings(index);
+        StoreClient client =
+                new StoreClient(
+                        sim.loop(),
+                        this::request,
+                        settings,
+                        new StoreLimits(LIMITS),
+                        new Random(index),
+                        served -> {});
+        return new JobApi(
+                sim.loop(),
+                client,
+                settings,
+                new JobApi.Storage() {
+                    @Override
+                    public RecordFormat format() {
+                        return RecordFormat.COMPACT;
+                    }
+
+                    @Override
+                    public int valueBytes() {
+                        return LIMITS.valueBytes();
+                    }
+
+                    @Override
+                    public void onFormatSeen(RecordFormat format) {}
+                },
+                new JobApi.Types() {
+                    @Override
+                    public List<MachineType> current() {
+                        return List.of();
+                    }
+
+                    @Override
+                    public void refresh(Consumer<Boolean> answered) {
+                        answered.accept(false);
+                    }
+                },
+                (record, revision) -> {},
+                (jobId, patience, answer) -> answer.accept(true));
+    }
+
+    private static ServiceSettings settings(int index) {
+        List<Peer> peers = new ArrayList<>();
+        for (int other = 0; other < NODES; other++) {
+            if (other != index) {
+                peers.add(new Peer("node-" + other, "a", "0:" + other));
+            }
+        }
+        return new ServiceSettings(
+                "node-" + index,
+                "a",
+                "0:1",
+                "0:2",
+                peers,
+                "cloud",
+                "state",
+                List.of("a"),
+                List.of(),
+                List.of(),
+                new ServiceSettings.Agents(1, 1, 1),
+                LIMITS,
+                new ServiceSettings.Cloud(1, 1),
+                new ServiceSettings.Resources(1, 1, 1));
+    }
+
+    /** The store's network and its limit of requests, which all nodes share. */
+    private void request(
+            String address,
+            String method,
+            String path,
+            byte[] body,
+            long timeout,
+            HttpTransport.Callback callback) {
+        boolean[] answered = {false};
+        sim.after(timeout, () -> answer(answered, callback, HttpTransport.NO_RESPONSE, Map.of()));
+        sim.after(
+                2_000,
+                () -> {
+                    if (takeRequestToken()) {
+                        store.handle(
+                                method,
+                                path,
+                                Map.of(),
+                                (status, map) ->
+                                        sim.after(
+                                                4_000,
+                                                () -> answer(answered, callback, status, map)));
+                    } else {
+                        answer(answered, callback, TOO_MANY_REQUESTS, Map.of());
+                    }
+                });
+    }
+
+    private static void answer(
+            boolean[] answered,
+            HttpTransport.Callback callback,
+            int status,
+            Map<String, Object> map) {
+        if (!answered[0]) {
+            answered[0] = true;
+            callback.answered(status, status > 0 ? Cbor.encode(map) : new byte[0]);
+        }
+    }
+
+    private boolean takeRequestToken() {
+        double refilled = (sim.now() - requestTokensAt) * LIMITS.rps() / SECOND;
+        requestTokens = Math.min(LIMITS.rps(), requestTokens + refilled);
+        requestTokensAt = sim.now();
+        if (requestTokens < 1) {
+            return false;
+        }
+        requestTokens--;
+        return true;
+    }
+
+    /** Has every node read all jobs, more slowly than any limit. */
+    private void warmUp() {
+        for (int job = 0; job < JOBS; job++) {
+            for (int node = 0; node < NODES; node++) {
+                ask(node, job);
+            }
+            sim.run(sim.now() + SECOND / LOADED_PER_SECOND);
+        }
+    }
+
+    private void ask(int node, int job) {
+        long askedAt = sim.now();
+        nodes.get(node)
+                .status(
+                        jobId(job),
+                        response -> {
+                            boolean inTime = sim.now() - askedAt <= USER_TIMEOUT;
+                            if (response.status() == OK && inTime) {
+                                lastAnswered[job] = sim.now();
+                                answers++;
+                            } else {
+                                refusals++;
+                            }
+                        });
+    }
+
+    /** The user of each job asks every five seconds, at each node in turn. */
+    private void startPolling() {
+        for (int job = 0; job < JOBS; job++) {
+            poll(job, random.nextInt(NODES), random.nextInt((int) POLL_INTERVAL));
+        }
+    }
+
+    private void poll(int job, int node, long delay) {
+        sim.after(
+                delay,
+                () -> {
+                    ask(node, job);
+                    poll(job, (node + 1) % NODES, POLL_INTERVAL);
+                });
+    }
+
+    private void pollUnderCalm() {
+        startPolling();
+        sim.run(sim.now() + CALM);
+        long since = sim.now() - 2 * POLL_INTERVAL;
+        assertEquals(0, unansweredSince(since), "jobs unanswered before any trouble");
+        assertTrue(answers > JOBS, answers + " answers");
+    }
+
+    private long unansweredSince(long since) {
+        return Arrays.stream(lastAnswered).filter(answered -> answered < since).count();
+    }
+
+    /** Runs until every job is answered after the troubles' end, or the bound has passed. */
+    private void assertAllAnsweredAgain() {
+        long end = sim.now();
+        answers = 0;
+        refusals = 0;
+        while (unansweredSince(end) > 0 && sim.now() - end < MAX_UNANSWERED) {
+            sim.run(sim.now() + SECOND);
+        }
+        assertEquals(
+                0,
+                unansweredSince(end),
+                () ->
+                        String.format(
+                                "jobs unanswered %d s after the end of all troubles;"
+                                        + " %d polls answered, %d not",
+                                (sim.now() - end) / SECOND, answers, refusals));
+    }
+
+    @Test
+    void jobsUnansweredAfterAStoreOutage() {
+        warmUp();
+        pollUnderCalm();
+        store.outage(true);
+        sim.run(sim.now() + OUTAGE);
+        store.outage(false);
+        assertAllAnsweredAgain();
+    }
+
+    @Test
+    void jobsUnansweredAfterAllNodesRestarted() {
+        warmUp();
+        pollUnderCalm();
+        startNodes();
+        assertAllAnsweredAgain();
+    }
+}
