Reads for jobs that went unanswered are coalesced and have their users' deadline

What callers saw: once the store had hung for some 20 s, no question about any job was answered for minutes, although the store was well again and every node served.

Cause: a job that had no answer for 10 s got its own read with a user's urgency, outside the shared reader: without a deadline, not coalesced with others of the same job, and its answer not kept. When all 12,000 open jobs are in that state at once, 2,400 such reads a second enter a queue that sends some 45; it fills to its bound, every read is answered minutes after its user has left, and the rounds that would answer everybody wait behind them in the same queue. Class: work done for callers that have gone, and a check (is the user still waiting) that stands in one path and not in the other. The state feeds itself: nothing is answered in time, so all jobs keep the urgency.

Change: there is one path. Such a query goes through the shared reader like any other and only gives its read by key the user's priority; coalescing, the deadline of 1.8 s and the cache apply. The rounds are of a priority of their own, before reads for a single user.

--- a/src/main/java/org/woadloom/http/StatusHandler.java
+++ b/src/main/java/org/woadloom/http/StatusHandler.java
@@ -5,7 +5,6 @@
 import org.woadloom.protocol.JobDescription;
 import org.woadloom.reads.CoalescingJobReader;
 import org.woadloom.reads.CoalescingJobReader.JobView;
-import org.woadloom.reads.JobReader;
 import org.woadloom.reads.UnansweredQueries;
 import org.woadloom.store.StoreClient;
 import org.woadloom.store.StoreClient.RequestPriority;
@@ -16,7 +15,6 @@
     private static final long CONFIRMATION_TIMEOUT_MICROS = 1_600_000;
 
     private final StoreClient store;
-    private final JobReader reader;
     private final CoalescingJobReader sharedReader;
     private final StatusConfirmer confirmer;
     private final UnansweredQueries unanswered;
@@ -24,11 +22,9 @@
     StatusHandler(
             EventLoop loop,
             StoreClient store,
-            JobReader reader,
             CoalescingJobReader sharedReader,
             StatusConfirmer confirmer) {
         this.store = store;
-        this.reader = reader;
         this.sharedReader = sharedReader;
         this.confirmer = confirmer;
         unanswered = new UnansweredQueries(loop);
@@ -39,15 +35,9 @@
             answer.accept(Refusal.unknownJob());
             return;
         }
-        Consumer<JobView> onRead = job -> onRead(jobId, job, answer);
-        if (unanswered.hasPriority(jobId)) {
-            reader.lookUp(
-                    RequestPriority.USER,
-                    jobId,
-                    lookup -> onRead.accept(lookup == null ? null : JobView.of(lookup)));
-        } else {
-            sharedReader.read(jobId, onRead);
-        }
+        RequestPriority priority =
+                unanswered.hasPriority(jobId) ? RequestPriority.USER : RequestPriority.NORMAL;
+        sharedReader.read(priority, jobId, job -> onRead(jobId, job, answer));
     }
 
     private void onRead(String jobId, JobView job, Consumer<JobAnswer> answer) {
--- a/src/main/java/org/woadloom/reads/CoalescingJobReader.java
+++ b/src/main/java/org/woadloom/reads/CoalescingJobReader.java
@@ -68,7 +68,17 @@
         }
     }
 
-    private record Query(long number, long askedMicros, String jobId, Consumer<JobView> answer) {}
+    /**
+     * One query.
+     *
+     * @param priority of the read by key that it may need
+     */
+    private record Query(
+            long number,
+            long askedMicros,
+            String jobId,
+            RequestPriority priority,
+            Consumer<JobView> answer) {}
 
     /**
      * One round.
@@ -133,13 +143,22 @@
 
     /** Asks for a job; the answer is null if the store does not say. */
     public void read(String jobId, Consumer<JobView> answer) {
+        read(RequestPriority.NORMAL, jobId, answer);
+    }
+
+    /**
+     * The same.
+     *
+     * @param priority of a read by key, if the job has to be read by itself
+     */
+    public void read(RequestPriority priority, String jobId, Consumer<JobView> answer) {
         JobLookup finalState = reader.knownFinalState(jobId);
         if (finalState != null) {
             answer.accept(JobView.of(finalState));
             return;
         }
         lastQuery++;
-        queries.add(new Query(lastQuery, loop.nowMicros(), jobId, answer));
+        queries.add(new Query(lastQuery, loop.nowMicros(), jobId, priority, answer));
         scheduleRound();
     }
 
@@ -207,7 +226,7 @@
      */
     private void checkStore(Round round, Runnable onServed, Runnable onRefused) {
         store.get(
-                RequestPriority.USER,
+                RequestPriority.SHARED_READ,
                 StoreKeys.NOTHING,
                 (result, entry, storeRevision) -> {
                     if (result == Result.UNAVAILABLE) {
@@ -227,7 +246,7 @@
         }
         long startGeneration = generation;
         store.changes(
-                RequestPriority.USER,
+                RequestPriority.SHARED_READ,
                 StoreKeys.JOBS,
                 revision,
                 (result, changes, storeRevision) -> {
@@ -266,7 +285,7 @@
         long startGeneration = generation;
         // The answer for a key that does not exist carries the store's revision.
         store.get(
-                RequestPriority.USER,
+                RequestPriority.SHARED_READ,
                 StoreKeys.NOTHING,
                 (result, entry, storeRevision) -> {
                     roundsInFlight--;
@@ -305,6 +324,7 @@
                 round,
                 query ->
                         recentJobs.read(
+                                query.priority,
                                 query.jobId,
                                 query.askedMicros + QUERY_TIMEOUT_MICROS,
                                 query.answer));
--- a/src/main/java/org/woadloom/reads/JobReader.java
+++ b/src/main/java/org/woadloom/reads/JobReader.java
@@ -74,24 +74,33 @@
         lookUp(RequestPriority.NORMAL, jobId, deadlineMicros, consumer);
     }
 
-    /** The same; the final state of a job that is known to be over is read first. */
-    void lookUp(String jobId, boolean over, long deadlineMicros, Consumer<JobLookup> consumer) {
+    /**
+     * The same with a priority among the other requests of this node to the store.
+     *
+     * @param over whether the job is known to be over: then its final state is read first
+     */
+    void lookUp(
+            RequestPriority priority,
+            String jobId,
+            boolean over,
+            long deadlineMicros,
+            Consumer<JobLookup> consumer) {
         if (over && knownFinalState(jobId) == null) {
             lookUpFinalState(
-                    RequestPriority.NORMAL,
+                    priority,
                     jobId,
                     deadlineMicros,
                     lookup -> {
                         @SuppressWarnings("ReferenceEquality") // The one constant that says so.
                         boolean unknown = lookup == JobLookup.UNKNOWN;
                         if (unknown) {
-                            lookUp(jobId, deadlineMicros, consumer);
+                            lookUp(priority, jobId, deadlineMicros, consumer);
                         } else {
                             consumer.accept(lookup);
                         }
                     });
         } else {
-            lookUp(jobId, deadlineMicros, consumer);
+            lookUp(priority, jobId, deadlineMicros, consumer);
         }
     }
 
--- a/src/main/java/org/woadloom/reads/RecentJobs.java
+++ b/src/main/java/org/woadloom/reads/RecentJobs.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import org.woadloom.reads.CoalescingJobReader.JobView;
 import org.woadloom.store.StoreClient.Event;
+import org.woadloom.store.StoreClient.RequestPriority;
 import org.woadloom.store.StoreKeys;
 
 /**
@@ -111,9 +112,11 @@
     /**
      * Answers from what is kept, or from a read by key; null if the store does not say.
      *
+     * @param priority of a read by key
      * @param deadlineMicros when a read that has not been sent yet is of no use any more
      */
-    void read(String jobId, long deadlineMicros, Consumer<JobView> answer) {
+    void read(
+            RequestPriority priority, String jobId, long deadlineMicros, Consumer<JobView> answer) {
         // Its final state may have been read for another request since the query came.
         JobLookup finalState = reader.knownFinalState(jobId);
         JobView view = finalState != null ? JobView.of(finalState) : cachedView(jobId);
@@ -130,7 +133,7 @@
         read = new PendingRead();
         pendingReads.put(jobId, read);
         read.waiting.add(answer);
-        readByKey(jobId, read, deadlineMicros);
+        readByKey(priority, jobId, read, deadlineMicros);
     }
 
     private JobView cachedView(String jobId) {
@@ -146,21 +149,27 @@
         return job.view;
     }
 
-    private void readByKey(String jobId, PendingRead read, long deadlineMicros) {
+    private void readByKey(
+            RequestPriority priority, String jobId, PendingRead read, long deadlineMicros) {
         reader.lookUp(
+                priority,
                 jobId,
                 ended.getIfPresent(jobId) != null,
                 deadlineMicros,
-                lookup -> onReadByKey(jobId, read, deadlineMicros, lookup));
+                lookup -> onReadByKey(priority, jobId, read, deadlineMicros, lookup));
     }
 
     private void onReadByKey(
-            String jobId, PendingRead read, long deadlineMicros, JobLookup lookup) {
+            RequestPriority priority,
+            String jobId,
+            PendingRead read,
+            long deadlineMicros,
+            JobLookup lookup) {
         if (!isOutdated(lookup, read.latestChange)) {
             completeRead(jobId, read, lookup);
         } else if (read.latestChange.value() == null) {
             read.latestChange = null;
-            readByKey(jobId, read, deadlineMicros);
+            readByKey(priority, jobId, read, deadlineMicros);
         } else {
             Event change = read.latestChange;
             completeRead(jobId, read, reader.parse(jobId, change.value(), change.revision()));
--- a/src/main/java/org/woadloom/store/StoreClient.java
+++ b/src/main/java/org/woadloom/store/StoreClient.java
@@ -34,6 +34,11 @@
          * for.
          */
         CANCELLATION(RateShare.USERS),
+        /**
+         * A read that answers all users who wait on this node: before reads for a single one of
+         * them.
+         */
+        SHARED_READ(RateShare.USERS),
         /** A user waits for it. */
         USER(RateShare.USERS),
         /** Work on machines waits for it. */
@@ -56,7 +61,7 @@
 
         /** Whether it goes before others of its share. */
         boolean isPreferred() {
-            return this == CANCELLATION;
+            return this == CANCELLATION || this == SHARED_READ;
         }
     }
 
--- a/src/test/java/org/woadloom/sim/StatusRecoveryTest.java
+++ b/src/test/java/org/woadloom/sim/StatusRecoveryTest.java
@@ -41,6 +41,9 @@
     /** Longer than a node may miss changes at these limits: 25 s. */
     private static final long OUTAGE = 30 * SECOND;
 
+    /** Shorter than that, and longer than it takes until a job's queries get priority. */
+    private static final long SILENCE = 20 * SECOND;
+
     private static final int LOADED_PER_SECOND = 20;
     private static final long CALM = 20 * SECOND;
     private static final int OK = 200;
@@ -57,6 +60,7 @@
     private final long[] lastAnswered = new long[JOBS];
     private double requestTokens = LIMITS.rps();
     private long requestTokensAt;
+    private boolean silent;
     private int answers;
     private int refusals;
 
@@ -168,6 +172,9 @@
             HttpTransport.Callback callback) {
         boolean[] answered = {false};
         sim.after(timeout, () -> answer(answered, callback, HttpTransport.NO_RESPONSE, Map.of()));
+        if (silent) {
+            return;
+        }
         sim.after(
                 2_000,
                 () -> {
@@ -290,6 +297,16 @@
         assertAllAnsweredAgain();
     }
 
+    @Test
+    void jobsUnansweredBehindReadsWhoseUsersHaveGone() {
+        warmUp();
+        pollUnderCalm();
+        silent = true;
+        sim.run(sim.now() + SILENCE);
+        silent = false;
+        assertAllAnsweredAgain();
+    }
+
     @Test
     void jobsUnansweredAfterAllNodesRestarted() {
         warmUp();
