Refused polls carry a typed reason, and the store's queues are measured by share

After the incident nobody could tell why questions about jobs went unanswered: the log named one job a time and no cause, and of the store's queues there was a count of what was given up.

- A query ends as QueryResult: answered, or refused with a QueryRefusal (store_unavailable, read_unanswered, refill_pending, cancellation_unconfirmed, dependency_cancelled).
The reason is in job_unanswered, counted in woadloom.jobs.polls_refused, and is the text of the 503.
A null view no longer stands for "the store did not say" between the reader and the handlers.
- woadloom.state.queued and woadloom.state.queue_age_s by share: a queue of users' requests older than two seconds is work for users who have gone.

DamagedRecordTest passes a reason in its calls of onRefused; what it asserts is the same. What the tests read by null (CoalescingJobReader.read) stays as a convenience over query.

--- a/src/main/java/org/woadloom/http/CancellationHandler.java
+++ b/src/main/java/org/woadloom/http/CancellationHandler.java
@@ -9,6 +9,7 @@
 import org.woadloom.reads.CoalescingJobReader.JobView;
 import org.woadloom.reads.JobLookup;
 import org.woadloom.reads.JobReader;
+import org.woadloom.reads.QueryRefusal;
 import org.woadloom.store.FinalRecord;
 import org.woadloom.store.JobRecord;
 import org.woadloom.store.RecordFormat;
@@ -191,8 +192,8 @@
                     refusal -> answer.accept(orFound(refusal, over)));
         }
 
-        private static JobAnswer orFound(Optional<Refusal> refusal, JobStatus status) {
-            return refusal.isPresent() ? refusal.get() : new JobAnswer.Found(status);
+        private static JobAnswer orFound(Optional<QueryRefusal> refusal, JobStatus status) {
+            return refusal.isPresent() ? Refusal.of(refusal.get()) : new JobAnswer.Found(status);
         }
     }
 }
--- a/src/main/java/org/woadloom/http/JobApi.java
+++ b/src/main/java/org/woadloom/http/JobApi.java
@@ -8,6 +8,7 @@
 import org.woadloom.protocol.MachineType;
 import org.woadloom.reads.CoalescingJobReader;
 import org.woadloom.reads.JobReader;
+import org.woadloom.reads.QueryRefusal;
 import org.woadloom.settings.ServiceSettings;
 import org.woadloom.store.JobRecord;
 import org.woadloom.store.RecordFormat;
@@ -107,6 +108,11 @@
         return statuses.longestUnansweredMicros();
     }
 
+    /** How many polls got no answer for the reason, since the process started. */
+    public long refusedQueries(QueryRefusal reason) {
+        return statuses.refusals(reason);
+    }
+
     private static Consumer<JobAnswer> asHttp(Consumer<Response> answer) {
         return outcome -> answer.accept(outcome.toResponse());
     }
--- a/src/main/java/org/woadloom/http/Refusal.java
+++ b/src/main/java/org/woadloom/http/Refusal.java
@@ -1,5 +1,7 @@
 package org.woadloom.http;
 
+import org.woadloom.reads.QueryRefusal;
+
 /** Why a request about a job is not carried out. */
 record Refusal(Reason reason, String text) implements JobAnswer {
     /** What the user can do about it, each with its HTTP status. */
@@ -19,8 +21,7 @@
         }
     }
 
-    private static final Refusal STORE_UNAVAILABLE =
-            unavailable("the state service does not answer");
+    private static final Refusal STORE_UNAVAILABLE = of(QueryRefusal.STORE_UNAVAILABLE);
     private static final Refusal UNKNOWN_JOB = new Refusal(Reason.UNKNOWN_JOB, "no such job");
     private static final Refusal JOB_CHANGED = unavailable("the job changed meanwhile");
 
@@ -36,6 +37,11 @@
         return new Refusal(Reason.UNAVAILABLE, text);
     }
 
+    /** A question about a job that gets no answer now. */
+    static Refusal of(QueryRefusal reason) {
+        return unavailable(reason.text());
+    }
+
     static Refusal storeUnavailable() {
         return STORE_UNAVAILABLE;
     }
--- a/src/main/java/org/woadloom/http/StatusConfirmer.java
+++ b/src/main/java/org/woadloom/http/StatusConfirmer.java
@@ -5,6 +5,7 @@
 import java.util.function.Consumer;
 import org.woadloom.reads.CoalescingJobReader;
 import org.woadloom.reads.CoalescingJobReader.JobView;
+import org.woadloom.reads.QueryRefusal;
 
 /**
  * Decides whether a status that was read may be told to a user yet. A cancellation is told only
@@ -13,11 +14,6 @@
  * one that was cut off from the store.
  */
 final class StatusConfirmer {
-    private static final Refusal UNCONFIRMED_CANCELLATION =
-            Refusal.unavailable("the cancellation can't be confirmed yet");
-    private static final Refusal DEPENDENCY_CANCELLED =
-            Refusal.unavailable("a job before it is cancelled, and so it will be");
-
     private final CoalescingJobReader reader;
     private final JobApi.Confirmation confirmation;
 
@@ -31,22 +27,27 @@
      *
      * @param timeoutMicros for how long the user still waits
      */
-    void confirm(JobView job, long timeoutMicros, Consumer<Optional<Refusal>> result) {
+    void confirm(JobView job, long timeoutMicros, Consumer<Optional<QueryRefusal>> result) {
         if (job.status().isCancelled()) {
             confirmation.confirm(
                     job.status().jobId(),
                     timeoutMicros,
-                    confirmed -> result.accept(refuseUnless(confirmed, UNCONFIRMED_CANCELLATION)));
+                    confirmed ->
+                            result.accept(
+                                    refuseUnless(
+                                            confirmed, QueryRefusal.CANCELLATION_UNCONFIRMED)));
         } else {
             checkNoneCancelled(
                     job.dependencies(),
                     noneCancelled ->
-                            result.accept(refuseUnless(noneCancelled, DEPENDENCY_CANCELLED)));
+                            result.accept(
+                                    refuseUnless(
+                                            noneCancelled, QueryRefusal.DEPENDENCY_CANCELLED)));
         }
     }
 
-    private static Optional<Refusal> refuseUnless(boolean allowed, Refusal refusal) {
-        return allowed ? Optional.empty() : Optional.of(refusal);
+    private static Optional<QueryRefusal> refuseUnless(boolean allowed, QueryRefusal reason) {
+        return allowed ? Optional.empty() : Optional.of(reason);
     }
 
     /**
--- a/src/main/java/org/woadloom/http/StatusHandler.java
+++ b/src/main/java/org/woadloom/http/StatusHandler.java
@@ -5,6 +5,8 @@
 import org.woadloom.protocol.JobDescription;
 import org.woadloom.reads.CoalescingJobReader;
 import org.woadloom.reads.CoalescingJobReader.JobView;
+import org.woadloom.reads.QueryRefusal;
+import org.woadloom.reads.QueryResult;
 import org.woadloom.reads.UnansweredQueries;
 import org.woadloom.store.StoreClient;
 import org.woadloom.store.StoreClient.RequestPriority;
@@ -37,22 +39,29 @@
         }
         RequestPriority priority =
                 unanswered.hasPriority(jobId) ? RequestPriority.USER : RequestPriority.NORMAL;
-        sharedReader.read(priority, jobId, job -> onRead(jobId, job, answer));
+        sharedReader.query(
+                priority,
+                jobId,
+                result -> {
+                    if (result instanceof QueryResult.Refused refused) {
+                        refuse(jobId, refused.reason(), answer);
+                    } else {
+                        onRead(jobId, result.viewOrNull(), answer);
+                    }
+                });
     }
 
     private void onRead(String jobId, JobView job, Consumer<JobAnswer> answer) {
-        if (job == null) {
-            refuse(jobId, Refusal.storeUnavailable(), answer);
-        } else if (job.status() == null) {
+        if (job.status() == null) {
             unanswered.onAnswered(jobId);
             answer.accept(Refusal.unknownJob());
         } else {
             confirmer.confirm(
                     job,
                     CONFIRMATION_TIMEOUT_MICROS,
-                    refusal -> {
-                        if (refusal.isPresent()) {
-                            refuse(jobId, refusal.get(), answer);
+                    reason -> {
+                        if (reason.isPresent()) {
+                            refuse(jobId, reason.get(), answer);
                         } else {
                             unanswered.onAnswered(jobId);
                             answer.accept(new JobAnswer.Found(job.status(), job.dependencies()));
@@ -61,9 +70,14 @@
         }
     }
 
-    private void refuse(String jobId, Refusal refusal, Consumer<JobAnswer> answer) {
-        unanswered.onRefused(jobId, !store.isRefusing());
-        answer.accept(refusal);
+    private void refuse(String jobId, QueryRefusal reason, Consumer<JobAnswer> answer) {
+        unanswered.onRefused(jobId, reason, !store.isRefusing());
+        answer.accept(Refusal.of(reason));
+    }
+
+    /** How many polls were refused for the reason. */
+    long refusals(QueryRefusal reason) {
+        return unanswered.refusals(reason);
     }
 
     /** The longest time for which a job was polled for in vain while others were answered. */
--- a/src/main/java/org/woadloom/http/SubmissionHandler.java
+++ b/src/main/java/org/woadloom/http/SubmissionHandler.java
@@ -11,6 +11,7 @@
 import org.woadloom.reads.CoalescingJobReader.JobView;
 import org.woadloom.reads.JobLookup;
 import org.woadloom.reads.JobReader;
+import org.woadloom.reads.QueryRefusal;
 import org.woadloom.store.JobRecord;
 import org.woadloom.store.RecordFormat;
 import org.woadloom.store.StoreClient.Change;
@@ -136,8 +137,10 @@
                 refusal -> answer.accept(orFound(refusal, lookup)));
     }
 
-    private static JobAnswer orFound(Optional<Refusal> refusal, JobLookup lookup) {
-        return refusal.isPresent() ? refusal.get() : new JobAnswer.Found(lookup.status());
+    private static JobAnswer orFound(Optional<QueryRefusal> refusal, JobLookup lookup) {
+        return refusal.isPresent()
+                ? Refusal.of(refusal.get())
+                : new JobAnswer.Found(lookup.status());
     }
 
     /** Users who retry while the first write is queued or under way share it. */
--- a/src/main/java/org/woadloom/metrics/NodeMetrics.java
+++ b/src/main/java/org/woadloom/metrics/NodeMetrics.java
@@ -121,6 +121,12 @@
         registry.gauge(name, of, value);
     }
 
+    /** The same for one of several values of that name, told apart by a tag. */
+    public <T> void gauge(
+            String name, String tag, String tagValue, T of, ToDoubleFunction<T> value) {
+        registry.gauge(name, Tags.of(tag, tagValue), of, value);
+    }
+
     /** All meters, by name and tags. */
     public Map<String, Object> toMap() {
         Map<String, Object> map = new LinkedHashMap<>();
--- a/src/main/java/org/woadloom/node/NodeGauges.java
+++ b/src/main/java/org/woadloom/node/NodeGauges.java
@@ -1,10 +1,13 @@
 package org.woadloom.node;
 
+import java.util.Locale;
 import org.woadloom.agent.AgentConnectionBalancer;
 import org.woadloom.core.Scheduler;
 import org.woadloom.http.JobApi;
 import org.woadloom.leader.Election;
 import org.woadloom.metrics.NodeMetrics;
+import org.woadloom.reads.QueryRefusal;
+import org.woadloom.store.RateShare;
 import org.woadloom.store.StoreClient;
 
 /** Registers what is measured of a node's parts whenever its metrics are read. */
@@ -19,6 +22,14 @@
                 "woadloom.jobs.unanswered_s",
                 jobs,
                 j -> j.longestUnansweredMicros() / MICROS_PER_SECOND);
+        for (QueryRefusal reason : QueryRefusal.values()) {
+            metrics.gauge(
+                    "woadloom.jobs.polls_refused",
+                    "reason",
+                    reason.key(),
+                    jobs,
+                    j -> j.refusedQueries(reason));
+        }
         metrics.gauge("woadloom.alone", node, n -> n.isIsolated() ? 1 : 0);
         metrics.gauge("woadloom.leader", election, e -> e.isLeader() ? 1 : 0);
         metrics.gauge("woadloom.term", election, Election::knownTerm);
@@ -27,6 +38,16 @@
     static void registerStore(NodeMetrics metrics, StoreClient store) {
         metrics.gauge("woadloom.state.troubles", store, StoreClient::failures);
         metrics.gauge("woadloom.state.shed", store, StoreClient::shed);
+        for (RateShare share : RateShare.values()) {
+            String name = share.name().toLowerCase(Locale.ROOT);
+            metrics.gauge("woadloom.state.queued", "share", name, store, s -> s.queued(share));
+            metrics.gauge(
+                    "woadloom.state.queue_age_s",
+                    "share",
+                    name,
+                    store,
+                    s -> s.longestQueuedMicros(share) / MICROS_PER_SECOND);
+        }
     }
 
     static void registerScheduler(
--- a/src/main/java/org/woadloom/reads/CoalescingJobReader.java
+++ b/src/main/java/org/woadloom/reads/CoalescingJobReader.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.woadloom.net.EventLoop;
 import org.woadloom.protocol.JobStatus;
 import org.woadloom.settings.ServiceSettings;
@@ -28,6 +30,8 @@
  * by page ({@link RecentJobsRefill}).
  */
 public final class CoalescingJobReader {
+    private static final Logger LOG = LoggerFactory.getLogger(CoalescingJobReader.class);
+
     /** The share of the service's store requests that the rounds of all nodes together may take. */
     private static final double REQUEST_SHARE = 0.1;
 
@@ -79,7 +83,7 @@
             long askedMicros,
             String jobId,
             RequestPriority priority,
-            Consumer<JobView> answer) {}
+            Consumer<QueryResult> answer) {}
 
     /**
      * One round.
@@ -144,18 +148,18 @@
 
     /** Asks for a job; the answer is null if the store does not say. */
     public void read(String jobId, Consumer<JobView> answer) {
-        read(RequestPriority.NORMAL, jobId, answer);
+        query(RequestPriority.NORMAL, jobId, result -> answer.accept(result.viewOrNull()));
     }
 
     /**
-     * The same.
+     * Asks for a job, and for the reason if there is no answer.
      *
      * @param priority of a read by key, if the job has to be read by itself
      */
-    public void read(RequestPriority priority, String jobId, Consumer<JobView> answer) {
+    public void query(RequestPriority priority, String jobId, Consumer<QueryResult> answer) {
         JobLookup finalState = reader.knownFinalState(jobId);
         if (finalState != null) {
-            answer.accept(JobView.of(finalState));
+            answer.accept(new QueryResult.Answered(JobView.of(finalState)));
             return;
         }
         lastQuery++;
@@ -279,6 +283,10 @@
     /** Drops what is kept, as changes were missed, and reads the store's revision anew. */
     private void restart(Round round) {
         if (revision != NO_REVISION) {
+            LOG.info(
+                    "event=status_cache_dropped revision={} age_ms={}",
+                    revision,
+                    (loop.nowMicros() - revisionMicros) / 1_000);
             recentJobs.clear();
             revision = NO_REVISION;
             generation++;
@@ -333,7 +341,8 @@
     }
 
     private void refuseQueries(Round round) {
-        completeQueries(round, query -> query.answer.accept(null));
+        QueryResult refused = new QueryResult.Refused(QueryRefusal.STORE_UNAVAILABLE);
+        completeQueries(round, query -> query.answer.accept(refused));
     }
 
     private void completeQueries(Round round, Consumer<Query> completion) {
--- a/src/main/java/org/woadloom/reads/RecentJobs.java
+++ b/src/main/java/org/woadloom/reads/RecentJobs.java
@@ -44,7 +44,7 @@
 
     /** A job that is being read by key, for the first query or several. */
     private static final class PendingRead {
-        private final List<Consumer<JobView>> waiting = new ArrayList<>();
+        private final List<Consumer<QueryResult>> waiting = new ArrayList<>();
 
         /** The latest change that rounds have read since it started: the read may be older. */
         private Event latestChange;
@@ -138,18 +138,21 @@
     }
 
     /**
-     * Answers from what is kept, or from a read by key; null if the store does not say.
+     * Answers from what is kept, from a page that is awaited, or from a read by key.
      *
      * @param priority of a read by key
      * @param deadlineMicros when a read that has not been sent yet is of no use any more
      */
     void read(
-            RequestPriority priority, String jobId, long deadlineMicros, Consumer<JobView> answer) {
+            RequestPriority priority,
+            String jobId,
+            long deadlineMicros,
+            Consumer<QueryResult> answer) {
         // Its final state may have been read for another request since the query came.
         JobLookup finalState = reader.knownFinalState(jobId);
         JobView view = finalState != null ? JobView.of(finalState) : cachedView(jobId);
         if (view != null) {
-            answer.accept(view);
+            answer.accept(new QueryResult.Answered(view));
             return;
         }
         PendingRead read = pendingReads.get(jobId);
@@ -163,7 +166,7 @@
                     jobId,
                     deadlineMicros,
                     () -> read(priority, jobId, deadlineMicros, answer),
-                    () -> answer.accept(null));
+                    () -> answer.accept(new QueryResult.Refused(QueryRefusal.REFILL_PENDING)));
             return;
         }
         read = new PendingRead();
@@ -220,11 +223,17 @@
     }
 
     private void completeRead(String jobId, PendingRead read, JobLookup lookup) {
-        JobView view = lookup == null ? null : JobView.of(lookup);
         boolean current = pendingReads.remove(jobId, read);
-        if (current && lookup != null && lookup.record() != null) {
+        if (lookup == null) {
+            QueryResult refused = new QueryResult.Refused(QueryRefusal.READ_UNANSWERED);
+            read.waiting.forEach(answer -> answer.accept(refused));
+            return;
+        }
+        JobView view = JobView.of(lookup);
+        if (current && lookup.record() != null) {
             cached.put(jobId, new CachedJob(lookup.revision(), view));
         }
-        read.waiting.forEach(answer -> answer.accept(view));
+        QueryResult answered = new QueryResult.Answered(view);
+        read.waiting.forEach(answer -> answer.accept(answered));
     }
 }
--- a/src/main/java/org/woadloom/reads/UnansweredQueries.java
+++ b/src/main/java/org/woadloom/reads/UnansweredQueries.java
@@ -2,6 +2,8 @@
 
 import com.github.benmanes.caffeine.cache.Cache;
 import com.github.benmanes.caffeine.cache.Caffeine;
+import java.util.EnumMap;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -36,6 +38,7 @@
 
     private final EventLoop loop;
     private final Cache<String, Long> firstRefusalMicros;
+    private final Map<QueryRefusal, Long> refusals = new EnumMap<>(QueryRefusal.class);
     private long lastWarningMicros = NEVER_MICROS;
 
     public UnansweredQueries(EventLoop loop) {
@@ -58,8 +61,10 @@
      * Notes that a query for the job could not be answered.
      *
      * @param served whether the store answers others meanwhile: during an outage nothing counts
+     *     towards the job's time
      */
-    public void onRefused(String jobId, boolean served) {
+    public void onRefused(String jobId, QueryRefusal reason, boolean served) {
+        refusals.merge(reason, 1L, Long::sum);
         if (!served) {
             firstRefusalMicros.invalidate(jobId);
             return;
@@ -69,13 +74,19 @@
         if (now - start >= WARN_AFTER_MICROS && now - lastWarningMicros >= WARN_INTERVAL_MICROS) {
             lastWarningMicros = now;
             LOG.warn(
-                    "event=job_unanswered job={} since_s={} unanswered_jobs={}",
+                    "event=job_unanswered job={} since_s={} unanswered_jobs={} reason={}",
                     jobId,
                     (now - start) / 1_000_000,
-                    firstRefusalMicros.estimatedSize());
+                    firstRefusalMicros.estimatedSize(),
+                    reason.key());
         }
     }
 
+    /** How many queries were refused for the reason, since the process started. */
+    public long refusals(QueryRefusal reason) {
+        return refusals.getOrDefault(reason, 0L);
+    }
+
     /** Whether queries for the job go before others. */
     public boolean hasPriority(String jobId) {
         Long start = firstRefusalMicros.getIfPresent(jobId);
--- a/src/main/java/org/woadloom/store/RateShare.java
+++ b/src/main/java/org/woadloom/store/RateShare.java
@@ -5,7 +5,7 @@
  * a share does not use is the others'. Control requests have no weight: they go first, within a
  * reserve of their own.
  */
-enum RateShare {
+public enum RateShare {
     /**
      * Half of what is divided between users and the leader's urgent records: neither may starve the
      * other.
--- a/src/main/java/org/woadloom/store/RequestScheduler.java
+++ b/src/main/java/org/woadloom/store/RequestScheduler.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 /**
  * Decides which request to the store is sent next, under a node's part of the store's two rates: of
@@ -113,6 +114,16 @@
         return ownWait + (long) (costBefore / perSecond * MICROS_PER_SECOND);
     }
 
+    /** How many requests of the share wait. */
+    int queued(RateShare share) {
+        return waitingReads.size(share) + waitingChanges.size(share);
+    }
+
+    /** The request of each of the share's queues that has waited for longest. */
+    Stream<T> firstOf(RateShare share) {
+        return Stream.concat(waitingReads.firstOf(share), waitingChanges.firstOf(share));
+    }
+
     boolean hasControlRequests() {
         return !control.isEmpty();
     }
--- a/src/main/java/org/woadloom/store/StoreClient.java
+++ b/src/main/java/org/woadloom/store/StoreClient.java
@@ -229,6 +229,16 @@
         return queue.shed();
     }
 
+    /** How many requests of the share wait to be sent. */
+    public int queued(RateShare share) {
+        return queue.queued(share);
+    }
+
+    /** For how long the oldest request of the share has waited to be sent. */
+    public long longestQueuedMicros(RateShare share) {
+        return queue.longestQueuedMicros(share);
+    }
+
     /** Reads one key. */
     public void get(RequestPriority priority, String key, EntryCallback callback) {
         get(priority, key, NO_DEADLINE, callback);
--- a/src/main/java/org/woadloom/store/StoreRequest.java
+++ b/src/main/java/org/woadloom/store/StoreRequest.java
@@ -11,6 +11,7 @@
     private final long timeoutMicros;
     private final HttpTransport.Callback callback;
     private final Runnable onOverdue;
+    private long queuedMicros;
     private boolean isSent;
 
     private StoreRequest(
@@ -74,6 +75,16 @@
         return onOverdue;
     }
 
+    /** Notes when it was asked for. */
+    void onQueued(long nowMicros) {
+        queuedMicros = nowMicros;
+    }
+
+    /** When it was asked for. */
+    long queuedMicros() {
+        return queuedMicros;
+    }
+
     boolean isSent() {
         return isSent;
     }
--- a/src/main/java/org/woadloom/store/StoreRequestQueue.java
+++ b/src/main/java/org/woadloom/store/StoreRequestQueue.java
@@ -90,6 +90,19 @@
         return shed;
     }
 
+    int queued(RateShare share) {
+        return scheduler.queued(share);
+    }
+
+    long longestQueuedMicros(RateShare share) {
+        long now = loop.nowMicros();
+        return scheduler
+                .firstOf(share)
+                .mapToLong(request -> now - request.queuedMicros())
+                .max()
+                .orElse(0);
+    }
+
     /** True if the last answer was that the store does not serve. */
     boolean isRefusing() {
         return isRefusing;
@@ -104,6 +117,7 @@
      */
     void submit(RequestPriority priority, long deadlineMicros, StoreRequest request) {
         long now = loop.nowMicros();
+        request.onQueued(now);
         boolean hasDeadline = deadlineMicros != StoreClient.NO_DEADLINE;
         boolean isTooLate =
                 hasDeadline
--- a/src/main/java/org/woadloom/store/WeightedQueues.java
+++ b/src/main/java/org/woadloom/store/WeightedQueues.java
@@ -4,6 +4,7 @@
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 /**
  * Queues that divide a rate by the weights of {@link RateShare} (start-time fair queueing): taking
@@ -162,6 +163,14 @@
         return item.request();
     }
 
+    /** The first of the share's preferred requests, and the first of the others. */
+    Stream<T> firstOf(RateShare share) {
+        Queue<T> queue = queues.get(share);
+        return Stream.of(queue.preferred, queue.ordinary)
+                .filter(items -> !items.isEmpty())
+                .map(items -> items.peekFirst().request());
+    }
+
     boolean isEmpty(RateShare share) {
         return queues.get(share).isEmpty();
     }
--- a/src/test/java/org/woadloom/sim/DamagedRecordTest.java
+++ b/src/test/java/org/woadloom/sim/DamagedRecordTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.extension.ExtendWith;
 import org.woadloom.net.EventLoop;
+import org.woadloom.reads.QueryRefusal;
 import org.woadloom.reads.UnansweredQueries;
 
 /** A job whose record can't be read stays known, and one of which nobody is told is found. */
@@ -109,7 +110,7 @@
         EventLoop loop = sim.loop();
         UnansweredQueries unanswered = new UnansweredQueries(loop);
         for (int i = 0; i < 3; i++) {
-            unanswered.onRefused("j-1", true);
+            unanswered.onRefused("j-1", QueryRefusal.READ_UNANSWERED, true);
             assertFalse(unanswered.hasPriority("j-1"));
             sim.step(sim.now() + 4_000_000);
         }
@@ -118,8 +119,8 @@
         assertNotEquals(true, unanswered.hasPriority("j-2"));
         unanswered.onAnswered("j-1");
         assertEquals(0, unanswered.longestMicros());
-        unanswered.onRefused("j-2", true);
-        unanswered.onRefused("j-2", false);
+        unanswered.onRefused("j-2", QueryRefusal.READ_UNANSWERED, true);
+        unanswered.onRefused("j-2", QueryRefusal.READ_UNANSWERED, false);
         assertEquals(0, unanswered.longestMicros(), "an outage for all picks out nobody");
     }
 }
