--- a/src/main/java/org/woadloom/http/JobApi.java
+++ b/src/main/java/org/woadloom/http/JobApi.java
@@ -83,7 +83,7 @@
         submissions =
                 new SubmissionHandler(
                         loop, storage, reader, admission, confirmer, writes, notifier);
-        statuses = new StatusHandler(loop, store, sharedReader, confirmer);
+        statuses = new StatusHandler(loop, store, reader, sharedReader, confirmer);
         cancellations =
                 new CancellationHandler(loop, store, storage, reader, confirmer, writes, notifier);
     }
--- a/src/main/java/org/woadloom/http/StatusHandler.java
+++ b/src/main/java/org/woadloom/http/StatusHandler.java
@@ -1,10 +1,13 @@
 package org.woadloom.http;
 
 import java.util.function.Consumer;
+import org.woadloom.invariant.Invariants;
+import org.woadloom.invariant.Invariants.Invariant;
 import org.woadloom.net.EventLoop;
 import org.woadloom.protocol.JobDescription;
 import org.woadloom.reads.CoalescingJobReader;
 import org.woadloom.reads.CoalescingJobReader.JobView;
+import org.woadloom.reads.JobReader;
 import org.woadloom.reads.QueryRefusal;
 import org.woadloom.reads.QueryResult;
 import org.woadloom.reads.UnansweredQueries;
@@ -17,6 +20,7 @@
     private static final long CONFIRMATION_TIMEOUT_MICROS = 1_600_000;
 
     private final StoreClient store;
+    private final JobReader reader;
     private final CoalescingJobReader sharedReader;
     private final StatusConfirmer confirmer;
     private final UnansweredQueries unanswered;
@@ -24,9 +28,11 @@
     StatusHandler(
             EventLoop loop,
             StoreClient store,
+            JobReader reader,
             CoalescingJobReader sharedReader,
             StatusConfirmer confirmer) {
         this.store = store;
+        this.reader = reader;
         this.sharedReader = sharedReader;
         this.confirmer = confirmer;
         unanswered = new UnansweredQueries(loop);
@@ -37,6 +43,7 @@
             answer.accept(Refusal.unknownJob());
             return;
         }
+        boolean wasAccepted = reader.isAcceptedService(jobId) != null;
         RequestPriority priority =
                 unanswered.hasPriority(jobId) ? RequestPriority.USER : RequestPriority.NORMAL;
         sharedReader.query(
@@ -46,13 +53,18 @@
                     if (result instanceof QueryResult.Refused refused) {
                         refuse(jobId, refused.reason(), answer);
                     } else {
-                        onRead(jobId, result.viewOrNull(), answer);
+                        onRead(jobId, wasAccepted, result.viewOrNull(), answer);
                     }
                 });
     }
 
-    private void onRead(String jobId, JobView job, Consumer<JobAnswer> answer) {
+    private void onRead(
+            String jobId, boolean wasAccepted, JobView job, Consumer<JobAnswer> answer) {
         if (job.status() == null) {
+            if (!Invariants.holds(!wasAccepted, Invariant.ACCEPTED_JOB_KNOWN, jobId)) {
+                refuse(jobId, QueryRefusal.STORE_UNAVAILABLE, answer);
+                return;
+            }
             unanswered.onAnswered(jobId);
             answer.accept(Refusal.unknownJob());
         } else {
--- a/src/main/java/org/woadloom/node/NodeGauges.java
+++ b/src/main/java/org/woadloom/node/NodeGauges.java
@@ -4,6 +4,7 @@
 import org.woadloom.agent.AgentConnectionBalancer;
 import org.woadloom.core.Scheduler;
 import org.woadloom.http.JobApi;
+import org.woadloom.invariant.Invariants;
 import org.woadloom.leader.Election;
 import org.woadloom.metrics.NodeMetrics;
 import org.woadloom.reads.QueryRefusal;
@@ -30,6 +31,7 @@
                     jobs,
                     j -> j.refusedQueries(reason));
         }
+        metrics.gauge("woadloom.invariants.violated", metrics, ignored -> Invariants.violations());
         metrics.gauge("woadloom.alone", node, n -> n.isIsolated() ? 1 : 0);
         metrics.gauge("woadloom.leader", election, e -> e.isLeader() ? 1 : 0);
         metrics.gauge("woadloom.term", election, Election::knownTerm);
--- a/src/main/java/org/woadloom/reads/CoalescingJobReader.java
+++ b/src/main/java/org/woadloom/reads/CoalescingJobReader.java
@@ -7,6 +7,8 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.woadloom.invariant.Invariants;
+import org.woadloom.invariant.Invariants.Invariant;
 import org.woadloom.net.EventLoop;
 import org.woadloom.protocol.JobStatus;
 import org.woadloom.settings.ServiceSettings;
@@ -330,14 +332,24 @@
     }
 
     private void answerQueries(Round round) {
-        completeQueries(
-                round,
-                query ->
-                        recentJobs.read(
-                                query.priority,
-                                query.jobId,
-                                query.askedMicros + QUERY_TIMEOUT_MICROS,
-                                query.answer));
+        completeQueries(round, query -> answer(round, query));
+    }
+
+    private void answer(Round round, Query query) {
+        boolean isFresh =
+                Invariants.holds(
+                        query.askedMicros <= round.startMicros,
+                        Invariant.ANSWER_READ_AFTER_QUESTION,
+                        query.jobId);
+        if (!isFresh) {
+            query.answer.accept(new QueryResult.Refused(QueryRefusal.STORE_UNAVAILABLE));
+            return;
+        }
+        recentJobs.read(
+                query.priority,
+                query.jobId,
+                query.askedMicros + QUERY_TIMEOUT_MICROS,
+                query.answer);
     }
 
     private void refuseQueries(Round round) {
--- a/src/main/java/org/woadloom/reads/RecentJobsRefill.java
+++ b/src/main/java/org/woadloom/reads/RecentJobsRefill.java
@@ -7,6 +7,8 @@
 import java.util.TreeMap;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.woadloom.invariant.Invariants;
+import org.woadloom.invariant.Invariants.Invariant;
 import org.woadloom.net.EventLoop;
 import org.woadloom.store.StoreClient;
 import org.woadloom.store.StoreClient.Entry;
@@ -130,6 +132,11 @@
             loop.schedule(RETRY_MICROS, () -> retry(current));
             return;
         }
+        if (!Invariants.holds(
+                advances(current, entries), Invariant.LIST_PAGES_ADVANCE, current.lastKey)) {
+            loop.schedule(RETRY_MICROS, () -> retry(current));
+            return;
+        }
         current.pages++;
         current.jobs += entries.size();
         for (Entry entry : entries) {
@@ -147,6 +154,12 @@
         }
     }
 
+    private static boolean advances(Pass current, List<Entry> entries) {
+        return entries.isEmpty()
+                || current.lastKey == null
+                || entries.get(0).path().compareTo(current.lastKey) > 0;
+    }
+
     private void retry(Pass current) {
         if (current == pass) {
             readPage(current);
--- a/src/test/java/org/woadloom/architecture/ArchitectureTest.java
+++ b/src/test/java/org/woadloom/architecture/ArchitectureTest.java
@@ -49,7 +49,7 @@
                 .layer("transport")
                 .definedBy(ROOT + ".net..")
                 .layer("base")
-                .definedBy(ROOT + ".settings..", ROOT + ".protocol..")
+                .definedBy(ROOT + ".settings..", ROOT + ".protocol..", ROOT + ".invariant..")
                 .whereLayer("programs")
                 .mayNotBeAccessedByAnyLayer()
                 .whereLayer("composition")
