A stalled event loop is logged and measured: loop_late

A timer that runs late shows for how long nothing else ran in time either, the renewal of the leader's lease among it: event=loop_late late_ms, with scheduler_ms for how much of that were steps of the scheduler, and woadloom.loop.late_s for the longest. One line a check at most, and only above one second. The check runs in Server beside the line of sockets, so simulations do not see it (the digest is equal).

--- a/src/main/java/org/woadloom/metrics/NodeMetrics.java
+++ b/src/main/java/org/woadloom/metrics/NodeMetrics.java
@@ -79,6 +79,11 @@
         steps.record(micros, TimeUnit.MICROSECONDS);
     }
 
+    /** The time that all steps of the scheduler have taken, since the process started. */
+    public double stepSeconds() {
+        return steps.totalTime(TimeUnit.SECONDS);
+    }
+
     /** Counts an action that the scheduler has decided on. */
     public void onAction(SchedulerAction action) {
         if (action instanceof SchedulerAction.AnswerHeartbeat) {
--- a/src/main/java/org/woadloom/node/Server.java
+++ b/src/main/java/org/woadloom/node/Server.java
@@ -53,6 +53,7 @@
         XnioPeerTransport peers = new XnioPeerTransport(loop, worker, settings);
         Node node = new Node(loop, transport, peers, settings, operator, random);
         ConnectionLimiter connections = new ConnectionLimiter(loop, plan);
+        LoopMonitor loopMonitor = new LoopMonitor(loop, node.metrics());
         registerGauges(node.metrics(), plan, connections, transport, peers);
         new ApiServer(settings, worker, buffers, plan, connections, node.router()).start();
         peers.bind();
@@ -60,6 +61,7 @@
                 () -> {
                     connections.start();
                     node.start();
+                    loopMonitor.start();
                     logSockets(loop, plan, connections, transport, peers);
                 });
         return node;
