A soak of real controller processes over loopback under seeded random faults

org.woadloom.soak, in the tests: three controllers as processes (killed, restarted, paused, continued by their ids), a proxy on each link between them and to store and cloud (hangs, hangs one way, refuses, resets, is slow), and store, cloud, agents and users after the protocol inside the driver. One seed makes one schedule of fifteen kinds of faults, up to three at a time; users submit, repeat, poll and cancel at all nodes throughout. Checked from outside: forgotten, invented, unanswered for 75 s after the faults, went_back, not_done, ran_twice, ran_cancelled, quota, wrong_place, no event=invariant_violated, no process that ends by itself. A rule that was held against nothing fails the run; each checker is shown a forged history that it must object to.

Not in it: left_waiting, gangs, proxies on the links of agents and users (they hang or fall silent in the driver).

--- a/src/test/java/org/woadloom/sim/SimulatedEventLoop.java
+++ b/src/test/java/org/woadloom/sim/SimulatedEventLoop.java
@@ -6,7 +6,7 @@
 /**
  * Virtual time: tasks run in the order of their times, and of their making where those are equal.
  */
-final class SimulatedEventLoop {
+public final class SimulatedEventLoop {
     private record Task(long at, long order, Runnable run, boolean[] cancelled) {}
 
     private final PriorityQueue<Task> tasks =
@@ -18,7 +18,7 @@
     private long now;
     private long order;
 
-    long now() {
+    public long now() {
         return now;
     }
 
@@ -47,7 +47,7 @@
         return true;
     }
 
-    void run(long until) {
+    public void run(long until) {
         while (step(until)) {
             continue;
         }
--- a/src/test/java/org/woadloom/sim/SimulatedStore.java
+++ b/src/test/java/org/woadloom/sim/SimulatedStore.java
@@ -15,7 +15,7 @@
 import org.woadloom.store.StoreLimits;
 
 /** The state service, written from the protocol. */
-final class SimulatedStore {
+public final class SimulatedStore {
     /** Entries of a page by default: few, so that readers meet the second one. */
     private static final int SMALL_PAGE = 7;
 
@@ -38,18 +38,19 @@
     private int pageEntries = SMALL_PAGE;
     boolean down;
 
-    SimulatedStore(SimulatedEventLoop loop, ServiceSettings.Store limits) {
+    public SimulatedStore(SimulatedEventLoop loop, ServiceSettings.Store limits) {
         this.loop = loop;
         this.limits = limits;
     }
 
     /** Gives as many entries on a page as the protocol allows. */
-    SimulatedStore withFullPages() {
+    public SimulatedStore withFullPages() {
         pageEntries = FULL_PAGE;
         return this;
     }
 
-    interface Answer {
+    /** Receives the answer to a request. */
+    public interface Answer {
         void answer(int status, Map<String, Object> body);
     }
 
@@ -76,7 +77,7 @@
                 loop, transport, settings, new StoreLimits(limits), new Random(seed), served -> {});
     }
 
-    void outage(boolean begins) {
+    public void outage(boolean begins) {
         down = begins;
         if (!begins) {
             // After an outage every lease has its full time again.
@@ -136,7 +137,7 @@
         return value;
     }
 
-    void handle(String method, String path, Map<String, Object> body, Answer answer) {
+    public void handle(String method, String path, Map<String, Object> body, Answer answer) {
         if (path.startsWith("/follow?")) {
             follow(path, loop.now() + Long.parseLong(parameter(path, "blockMs")) * 1000, answer);
         } else if (down) {
--- /dev/null
+++ b/src/test/java/org/woadloom/soak/DriverLoop.java
@@ -0,0 +1,47 @@
+package org.woadloom.soak;
+
+import org.woadloom.net.EventLoop;
+
+/** The event loop of one run; once it is stopped, nothing more of that run is done. */
+final class DriverLoop implements EventLoop {
+    private static final Timer NO_TIMER = () -> {};
+
+    private final EventLoop loop;
+    private volatile boolean stopped;
+
+    DriverLoop(EventLoop loop) {
+        this.loop = loop;
+    }
+
+    void stop() {
+        stopped = true;
+    }
+
+    @Override
+    public long nowMicros() {
+        return loop.nowMicros();
+    }
+
+    @Override
+    public long wallMicros() {
+        return loop.wallMicros();
+    }
+
+    @Override
+    public void execute(Runnable task) {
+        if (!stopped) {
+            loop.execute(() -> runUnlessStopped(task));
+        }
+    }
+
+    @Override
+    public Timer schedule(long delayMicros, Runnable task) {
+        return stopped ? NO_TIMER : loop.schedule(delayMicros, () -> runUnlessStopped(task));
+    }
+
+    private void runUnlessStopped(Runnable task) {
+        if (!stopped) {
+            task.run();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/woadloom/soak/LinkProxy.java
@@ -0,0 +1,158 @@
+package org.woadloom.soak;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** Passes the connections of one link on to their target, and brings the link's faults about. */
+final class LinkProxy implements Closeable {
+    private static final int BUFFER_BYTES = 16_384;
+    private static final int BACKLOG = 256;
+    private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
+    private static final int DELAY_MILLIS = 150;
+
+    /** The state of a link. */
+    enum Mode {
+        OPEN,
+        /** Nothing passes; it is delivered when the link is open again. */
+        HANGS,
+        /** Requests pass, answers do not until the link is open again. */
+        ANSWERS_HANG,
+        /** Connections are closed at once. */
+        REFUSES,
+        /** Everything passes late. */
+        SLOW
+    }
+
+    private final ServerSocket server;
+    private final int targetPort;
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+    private Mode mode = Mode.OPEN;
+    private boolean closed;
+
+    LinkProxy(int targetPort) throws IOException {
+        this.targetPort = targetPort;
+        server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+        start(this::acceptAll);
+    }
+
+    int port() {
+        return server.getLocalPort();
+    }
+
+    synchronized void setMode(Mode newMode) {
+        mode = newMode;
+        notifyAll();
+    }
+
+    /** Ends all connections, as a packet filter does that forgets them. */
+    void reset() {
+        sockets.forEach(LinkProxy::abort);
+    }
+
+    @Override
+    public void close() throws IOException {
+        synchronized (this) {
+            closed = true;
+            notifyAll();
+        }
+        server.close();
+        reset();
+    }
+
+    private static void start(Runnable task) {
+        Thread thread = new Thread(task, "soak-link");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void acceptAll() {
+        while (!server.isClosed()) {
+            try {
+                Socket client = server.accept();
+                if (currentMode() == Mode.REFUSES) {
+                    abort(client);
+                } else {
+                    start(() -> connect(client));
+                }
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private synchronized Mode currentMode() {
+        return mode;
+    }
+
+    private void connect(Socket client) {
+        Socket target = new Socket();
+        sockets.add(client);
+        sockets.add(target);
+        try {
+            client.setTcpNoDelay(true);
+            target.setTcpNoDelay(true);
+            target.connect(
+                    new InetSocketAddress(InetAddress.getLoopbackAddress(), targetPort),
+                    CONNECT_TIMEOUT_MILLIS);
+            start(() -> pump(target, client, true));
+            pump(client, target, false);
+        } catch (IOException e) {
+            abort(client);
+            sockets.remove(client);
+            sockets.remove(target);
+        }
+    }
+
+    private void pump(Socket from, Socket to, boolean answers) {
+        byte[] buffer = new byte[BUFFER_BYTES];
+        try {
+            InputStream in = from.getInputStream();
+            OutputStream out = to.getOutputStream();
+            int length = in.read(buffer);
+            while (length >= 0) {
+                awaitPassage(answers);
+                out.write(buffer, 0, length);
+                length = in.read(buffer);
+            }
+            from.close();
+            to.close();
+        } catch (IOException e) {
+            abort(from);
+            abort(to);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            sockets.remove(from);
+        }
+    }
+
+    private synchronized void awaitPassage(boolean answers) throws InterruptedException {
+        if (mode == Mode.SLOW) {
+            wait(DELAY_MILLIS);
+        }
+        while (!closed && (mode == Mode.HANGS || (answers && mode == Mode.ANSWERS_HANG))) {
+            wait();
+        }
+    }
+
+    private static void abort(Socket socket) {
+        try {
+            socket.setSoLinger(true, 0);
+        } catch (IOException e) {
+            // It is closed already.
+        }
+        try {
+            socket.close();
+        } catch (IOException e) {
+            // It is closed already.
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/woadloom/soak/RuleCheckersTest.java
@@ -0,0 +1,164 @@
+package org.woadloom.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.woadloom.soak.TaskStart.MachineFacts;
+import org.woadloom.soak.UserAnswer.Request;
+
+/** Forged histories, one for each rule, that its checker has to object to. */
+class RuleCheckersTest {
+    private static final long SECOND = 1_000_000;
+    private static final long CANCEL = 30 * SECOND;
+    private static final MachineFacts IN_A = new MachineFacts("host-1", "a", false);
+    private static final MachineFacts SPOT_IN_B = new MachineFacts("host-2", "b", true);
+
+    private final Map<String, SoakJob> jobs = new LinkedHashMap<>();
+    private final List<String> violated = new ArrayList<>();
+    private final RuleCheckers checkers =
+            new RuleCheckers(jobs, Map.of("red", 4.0), CANCEL, (rule, text) -> violated.add(rule));
+
+    private SoakJob job(int tasks, double cpus, String zone, boolean spotAllowed) {
+        String jobId = "j-" + (jobs.size() + 1);
+        SoakJob job = new SoakJob(jobId, "red", false, tasks, cpus, zone, spotAllowed, SECOND);
+        jobs.put(jobId, job);
+        return job;
+    }
+
+    private SoakJob acceptedJob() {
+        SoakJob job = job(2, 1, null, true);
+        tell(job, Request.SUBMIT, 201, "queued", 0, SECOND);
+        return job;
+    }
+
+    private void tell(
+            SoakJob job, Request request, int status, String text, long asked, long answered) {
+        checkers.onAnswer(new UserAnswer(request, job.jobId, status, text, asked, answered));
+    }
+
+    private void poll(SoakJob job, int status, String text, long second) {
+        tell(job, Request.POLL, status, text, second * SECOND, second * SECOND + 1);
+    }
+
+    private void start(SoakJob job, int number, MachineFacts machine, long second) {
+        checkers.onTaskStarted(
+                new TaskStart(job.jobId + "/" + number, job, machine, second * SECOND));
+    }
+
+    private void assertViolated(String rule) {
+        assertEquals(List.of(rule), violated);
+        long checks =
+                checkers.all().stream()
+                        .filter(checker -> checker.rule().equals(rule))
+                        .mapToLong(RuleChecker::checks)
+                        .sum();
+        assertTrue(checks > 0, "not counted as checked");
+    }
+
+    @Test
+    void anHonestHistoryIsGood() {
+        SoakJob job = acceptedJob();
+        poll(job, 503, null, 2);
+        start(job, 0, IN_A, 3);
+        start(job, 1, SPOT_IN_B, 3);
+        checkers.onTaskGone("host-1", job.jobId + "/0");
+        checkers.onTaskGone("host-2", job.jobId + "/1");
+        job.completedTasks.set(0, 2);
+        poll(job, 200, "done", 5);
+        checkers.onFaultsOver(6 * SECOND);
+        poll(job, 200, "done", 7);
+        checkers.onTick(8 * SECOND);
+        assertEquals(List.of(), violated);
+        assertTrue(checkers.isUnansweredRuleChecked());
+    }
+
+    @Test
+    void aForgottenJobIsFound() {
+        poll(acceptedJob(), 404, null, 2);
+        assertViolated("forgotten");
+    }
+
+    @Test
+    void anInventedJobIsFound() {
+        checkers.onAnswer(new UserAnswer(Request.POLL, "j-9", 200, "queued", 0, 1));
+        assertViolated("invented");
+    }
+
+    @Test
+    void anUnansweredJobIsFound() {
+        acceptedJob();
+        checkers.onFaultsOver(10 * SECOND);
+        checkers.onTick(84 * SECOND);
+        assertEquals(List.of(), violated, "before 75 s");
+        checkers.onTick(85 * SECOND);
+        assertViolated("unanswered");
+    }
+
+    @Test
+    void aStatusThatWentBackIsFound() {
+        SoakJob job = acceptedJob();
+        job.completedTasks.set(0, 2);
+        poll(job, 200, "done", 2);
+        poll(job, 200, "running", 3);
+        assertViolated("went_back");
+    }
+
+    @Test
+    void aCancellationThatNobodyAskedForIsFound() {
+        poll(acceptedJob(), 200, "cancelled", 2);
+        assertViolated("went_back");
+    }
+
+    @Test
+    void aJobCalledDoneTooEarlyIsFound() {
+        SoakJob job = acceptedJob();
+        job.completedTasks.set(0);
+        poll(job, 200, "done", 2);
+        assertViolated("not_done");
+    }
+
+    @Test
+    void aTaskThatRunsTwiceIsFound() {
+        SoakJob job = acceptedJob();
+        start(job, 0, IN_A, 2);
+        start(job, 0, SPOT_IN_B, 3);
+        assertViolated("ran_twice");
+    }
+
+    @Test
+    void aCancelledTaskThatGoesOnIsFound() {
+        SoakJob job = acceptedJob();
+        start(job, 0, IN_A, 2);
+        job.cancelAskedMicros = 3 * SECOND;
+        tell(job, Request.CANCEL, 200, "cancelled", 3 * SECOND, 4 * SECOND);
+        checkers.onTick(4 * SECOND + CANCEL);
+        assertEquals(List.of(), violated, "within the time of a cancellation");
+        checkers.onTick(4 * SECOND + CANCEL + 1);
+        assertViolated("ran_cancelled");
+    }
+
+    @Test
+    void aTeamAboveItsLimitIsFound() {
+        SoakJob job = job(2, 3, null, true);
+        start(job, 0, IN_A, 2);
+        start(job, 1, SPOT_IN_B, 2);
+        assertViolated("quota");
+    }
+
+    @Test
+    void aTaskInTheWrongZoneIsFound() {
+        start(job(1, 1, "b", true), 0, IN_A, 2);
+        assertViolated("wrong_place");
+    }
+
+    @Test
+    void aTaskOnASpotMachineThatItsJobDoesNotAllowIsFound() {
+        start(job(1, 1, null, false), 0, SPOT_IN_B, 2);
+        assertViolated("wrong_place");
+    }
+}
--- /dev/null
+++ b/src/test/java/org/woadloom/soak/SoakCommand.java
@@ -0,0 +1,51 @@
+package org.woadloom.soak;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+
+/** Plays seeds by hand; docs/testing.md has its options. */
+public final class SoakCommand {
+    private static final int FAILED = 1;
+    private static final int USAGE = 2;
+
+    private SoakCommand() {}
+
+    /** Ends with 0 if every seed was good, 1 if one was not, 2 for a mistake in the arguments. */
+    public static void main(String[] arguments) throws IOException, InterruptedException {
+        System.exit(run(System.out, arguments));
+    }
+
+    static int run(PrintStream out, String... arguments) throws IOException, InterruptedException {
+        SoakOptions options;
+        try {
+            options = SoakOptions.parse(Path.of(""), arguments);
+        } catch (SoakOptions.UsageException e) {
+            out.println("soak: " + e.getMessage());
+            return USAGE;
+        }
+        boolean good = true;
+        for (long seed : options.seeds()) {
+            good &= play(out, options, seed);
+        }
+        return good ? 0 : FAILED;
+    }
+
+    /** Prints the report and, for a run that failed, how to repeat it and where the logs are. */
+    static boolean play(PrintStream out, SoakOptions options, long seed)
+            throws IOException, InterruptedException {
+        try (SoakRun run = new SoakRun(options, seed)) {
+            SoakReport report = run.play();
+            out.println(report);
+            if (report.isGood()) {
+                return true;
+            }
+            report.violations().forEach(violation -> out.println("  " + violation));
+            report.uncheckedRules().forEach(rule -> out.println("  never checked: " + rule));
+            out.printf(
+                    "  again with: --seeds %d --agents %d --fault-seconds %d; logs in %s%n",
+                    seed, options.agents(), options.faultSeconds(), run.directory());
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/woadloom/soak/SoakJob.java
@@ -0,0 +1,87 @@
+package org.woadloom.soak;
+
+import java.util.BitSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** A job that a user submits, with what is known of it from outside. */
+final class SoakJob {
+    /** Earlier or later than any moment of a run. */
+    static final long NEVER = Long.MAX_VALUE;
+
+    final String jobId;
+    final String team;
+    final boolean service;
+    final int tasks;
+    final double cpus;
+    final String zone;
+    final boolean spotAllowed;
+    final long runMicros;
+    final BitSet completedTasks = new BitSet();
+    long acceptedMicros = NEVER;
+    long cancelAskedMicros = NEVER;
+
+    /** When users were first told that it is over, and how. */
+    long toldOverMicros = NEVER;
+
+    String toldStatus;
+
+    /** The question that was answered last, by when it was answered. */
+    long lastAnsweredMicros = -1;
+
+    SoakJob(
+            String jobId,
+            String team,
+            boolean service,
+            int tasks,
+            double cpus,
+            String zone,
+            boolean spotAllowed,
+            long runMicros) {
+        this.jobId = jobId;
+        this.team = team;
+        this.service = service;
+        this.tasks = tasks;
+        this.cpus = cpus;
+        this.zone = zone;
+        this.spotAllowed = spotAllowed;
+        this.runMicros = runMicros;
+    }
+
+    boolean isAccepted() {
+        return acceptedMicros != NEVER;
+    }
+
+    boolean isOver() {
+        return toldStatus != null;
+    }
+
+    boolean isComplete() {
+        return !service && completedTasks.cardinality() == tasks;
+    }
+
+    Map<String, Object> description() {
+        Map<String, Object> map = new LinkedHashMap<>();
+        map.put("uid", jobId);
+        map.put("jobclass", service ? "replicas" : "array");
+        map.put("crew", team);
+        map.put("shape", service ? "service" : "batch");
+        map.put("rank", service ? "critical" : "high");
+        map.put("shards", (long) tasks);
+        map.put("vcpus", cpus);
+        map.put("cards", 0.0);
+        map.put("ramGb", 1.0);
+        map.put("bundle", "img-" + jobId.charAt(jobId.length() - 1));
+        map.put("pullGb", 0.2);
+        map.put("hosttypes", null);
+        map.put("yard", zone);
+        map.put("samePlace", false);
+        map.put("apart", false);
+        map.put("reclaimable", spotAllowed);
+        map.put("runtimeS", service ? 0.0 : runMicros / 1e6);
+        map.put("snapshotEveryS", 0.0);
+        map.put("snapshotCostS", 0.0);
+        map.put("dueS", null);
+        return map;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/woadloom/soak/SoakOptions.java
@@ -0,0 +1,122 @@
+package org.woadloom.soak;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+
+/**
+ * What is played.
+ *
+ * @param faultSeconds for how long faults begin and end
+ * @param program the command that starts a controller, without its settings
+ */
+record SoakOptions(
+        List<Long> seeds,
+        int agents,
+        int faultSeconds,
+        Set<FaultKind> faults,
+        List<String> program) {
+    private static final int DEFAULT_AGENTS = 24;
+    private static final int MAX_AGENTS = 500;
+    private static final int DEFAULT_FAULT_SECONDS = 40;
+    private static final int MAX_FAULT_SECONDS = 3_600;
+    private static final String DEPLOY_FILE = "deploy/service.toml";
+    private static final String PACKAGE = "target/woadloom.jar";
+
+    /** A mistake in the command line, told in one line. */
+    static final class UsageException extends Exception {
+        private static final long serialVersionUID = 1;
+
+        UsageException(String message) {
+            super(message);
+        }
+    }
+
+    /**
+     * @param root the repository, with the package built
+     */
+    static SoakOptions parse(Path root, String... arguments) throws UsageException {
+        List<Long> seeds = List.of();
+        int agents = DEFAULT_AGENTS;
+        int faultSeconds = DEFAULT_FAULT_SECONDS;
+        Set<FaultKind> faults = EnumSet.allOf(FaultKind.class);
+        for (int i = 0; i < arguments.length; i += 2) {
+            if (i + 1 == arguments.length) {
+                throw new UsageException(arguments[i] + " needs a value");
+            }
+            String value = arguments[i + 1];
+            switch (arguments[i]) {
+                case "--seeds" -> seeds = seeds(value);
+                case "--agents" -> agents = number(value, MAX_AGENTS);
+                case "--fault-seconds" -> faultSeconds = number(value, MAX_FAULT_SECONDS);
+                case "--faults" -> faults = faults(value);
+                default -> throw new UsageException("unknown option " + arguments[i]);
+            }
+        }
+        if (seeds.isEmpty()) {
+            throw new UsageException("no seeds: give --seeds FIRST-LAST");
+        }
+        return new SoakOptions(seeds, agents, faultSeconds, faults, packagedProgram(root));
+    }
+
+    private static List<Long> seeds(String text) throws UsageException {
+        String[] bounds = text.split("-", -1);
+        int first = number(bounds[0], Integer.MAX_VALUE);
+        int last = bounds.length == 1 ? first : number(bounds[1], Integer.MAX_VALUE);
+        if (bounds.length > 2 || last < first) {
+            throw new UsageException("no seeds in " + text);
+        }
+        List<Long> seeds = new ArrayList<>();
+        for (long seed = first; seed <= last; seed++) {
+            seeds.add(seed);
+        }
+        return seeds;
+    }
+
+    private static int number(String text, int max) throws UsageException {
+        try {
+            int number = Integer.parseInt(text);
+            if (number >= 1 && number <= max) {
+                return number;
+            }
+        } catch (NumberFormatException e) {
+            // Told below.
+        }
+        throw new UsageException("not a number from 1 to " + max + ": " + text);
+    }
+
+    private static Set<FaultKind> faults(String text) throws UsageException {
+        Set<FaultKind> faults = EnumSet.noneOf(FaultKind.class);
+        for (String name : text.split(",", -1)) {
+            try {
+                faults.add(FaultKind.valueOf(name.toUpperCase(Locale.ROOT)));
+            } catch (IllegalArgumentException e) {
+                throw new UsageException("unknown fault " + name);
+            }
+        }
+        return faults;
+    }
+
+    /** The program as it is deployed. */
+    private static List<String> packagedProgram(Path root) throws UsageException {
+        if (!Files.exists(root.resolve(PACKAGE))) {
+            throw new UsageException("no package at " + PACKAGE + ": build it first");
+        }
+        try {
+            for (String line : Files.readAllLines(root.resolve(DEPLOY_FILE))) {
+                if (line.startsWith("run = ")) {
+                    String run = line.substring(line.indexOf('"') + 1, line.lastIndexOf('"'));
+                    return List.of(run.split(" "));
+                }
+            }
+        } catch (IOException e) {
+            throw new UsageException("can't read " + DEPLOY_FILE + ": " + e.getMessage());
+        }
+        throw new UsageException(DEPLOY_FILE + " has no run command");
+    }
+}
--- /dev/null
+++ b/src/test/java/org/woadloom/soak/SoakReport.java
@@ -0,0 +1,68 @@
+package org.woadloom.soak;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** What a run of one seed came to. */
+final class SoakReport {
+    private final long seed;
+    private final int agents;
+    private final Map<FaultKind, Integer> faults = new TreeMap<>();
+    private final Map<String, Long> checks = new TreeMap<>();
+    private final List<String> violations;
+    private final int acceptedJobs;
+    private final double recoverySeconds;
+    private final double minutes;
+
+    SoakReport(
+            long seed,
+            int agents,
+            List<FaultSchedule.Fault> faults,
+            List<RuleChecker> checkers,
+            List<String> violations,
+            int acceptedJobs,
+            double recoverySeconds,
+            double minutes) {
+        this.seed = seed;
+        this.agents = agents;
+        faults.forEach(fault -> this.faults.merge(fault.kind(), 1, Integer::sum));
+        checkers.forEach(checker -> checks.merge(checker.rule(), checker.checks(), Long::sum));
+        this.violations = violations;
+        this.acceptedJobs = acceptedJobs;
+        this.recoverySeconds = recoverySeconds;
+        this.minutes = minutes;
+    }
+
+    List<String> violations() {
+        return violations;
+    }
+
+    /** The rules that were held against nothing. */
+    List<String> uncheckedRules() {
+        return checks.entrySet().stream()
+                .filter(entry -> entry.getValue() == 0)
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
+    boolean isGood() {
+        return violations.isEmpty() && uncheckedRules().isEmpty();
+    }
+
+    @Override
+    public String toString() {
+        return String.format(
+                "seed %d | agents %d | faults %d %s | jobs %d | checks %s | all answered after %.1f"
+                        + " s | violations %d | minutes %.1f",
+                seed,
+                agents,
+                faults.values().stream().mapToInt(count -> count).sum(),
+                faults,
+                acceptedJobs,
+                checks,
+                recoverySeconds,
+                violations.size(),
+                minutes);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/woadloom/soak/SoakRun.java
@@ -0,0 +1,500 @@
+package org.woadloom.soak;
+
+import io.undertow.Undertow;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
+import org.woadloom.net.UndertowTransport;
+import org.woadloom.net.XnioEventLoop;
+import org.woadloom.protocol.Cbor;
+import org.woadloom.protocol.MalformedMessageException;
+import org.woadloom.settings.ServiceSettings;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+
+/**
+ * Plays one seed: starts the controllers and all that surrounds them, brings the faults about, ends
+ * them, and waits until every accepted job was answered. Everything simulated belongs to one event
+ * loop; the calling thread starts and ends processes and faults.
+ */
+final class SoakRun implements AutoCloseable {
+    private static final int MICROS_PER_SECOND = 1_000_000;
+    private static final long WARM_UP_MICROS = 8L * MICROS_PER_SECOND;
+    private static final long START_TIMEOUT_MICROS = 60L * MICROS_PER_SECOND;
+    private static final long MIN_QUIET_MICROS = 8L * MICROS_PER_SECOND;
+    private static final long MAX_QUIET_MICROS =
+            RuleCheckers.UnansweredChecker.MAX_MICROS + 5L * MICROS_PER_SECOND;
+    private static final int TICK_MICROS = 200_000;
+    private static final long POLL_MILLIS = 100;
+    private static final int USER_CONNECTIONS = 400;
+    private static final int MAX_VIOLATIONS = 50;
+    private static final int MACHINES_PER_BLOCK = 250;
+    private static final ServiceSettings.Store STORE_LIMITS =
+            new ServiceSettings.Store(
+                    SoakNodes.STORE_REQUESTS_PER_SECOND,
+                    SoakNodes.STORE_CHANGES_PER_SECOND,
+                    16_384,
+                    16,
+                    null);
+
+    private final SoakOptions options;
+    private final long seed;
+    private final Path directory;
+    private final XnioWorker worker;
+    private final XnioIoThread thread;
+    private final DriverLoop loop;
+    private final ByteBufferPool buffers = new DefaultByteBufferPool(true, 8192, 256, 4);
+    private final Map<String, SoakJob> jobs = new LinkedHashMap<>();
+    private final Map<String, SoakAgent> agentsByAddress = new LinkedHashMap<>();
+    private final List<String> violations = new ArrayList<>();
+    private final List<String> labels = new ArrayList<>();
+    private final RuleCheckers checkers;
+    private final SoakStore store;
+    private final SoakCloud cloud;
+    private final SoakUsers users;
+    private final SoakNodes nodes;
+    private final List<Integer> storePorts = new ArrayList<>();
+    private final int cloudPort;
+    private final int agentPort;
+    private final Undertow server;
+    private final List<FaultSchedule.Fault> faults;
+    private long highestToken;
+    private int leader;
+    private long faultsOverMicros;
+    private long allAnsweredMicros;
+
+    SoakRun(SoakOptions options, long seed) throws IOException {
+        this.options = options;
+        this.seed = seed;
+        directory = Files.createTempDirectory("soak-" + seed + "-");
+        worker =
+                Xnio.getInstance()
+                        .createWorker(
+                                OptionMap.builder()
+                                        .set(Options.WORKER_IO_THREADS, 1)
+                                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                                        .getMap());
+        thread = worker.getIoThread();
+        loop = new DriverLoop(new XnioEventLoop(thread));
+        for (int node = 0; node < SoakNodes.COUNT; node++) {
+            storePorts.add(FreePorts.take());
+            labels.add(SoakNodes.label(node));
+        }
+        cloudPort = FreePorts.take();
+        agentPort = FreePorts.take();
+        server = startServer();
+        nodes = new SoakNodes(options.program(), directory, storePorts, cloudPort);
+        checkers =
+                new RuleCheckers(
+                        jobs,
+                        Map.of("red", SoakNodes.RED_LIMIT, "blue", SoakNodes.BLUE_LIMIT),
+                        (long) (SoakNodes.CANCEL_SECONDS * MICROS_PER_SECOND),
+                        this::onViolation);
+        store = new SoakStore(loop, new Random(seed + 1), STORE_LIMITS);
+        cloud = new SoakCloud(loop, new Random(seed + 2), options.agents(), booter());
+        users =
+                new SoakUsers(
+                        loop,
+                        new UndertowTransport(loop, thread, buffers, USER_CONNECTIONS),
+                        new Random(seed + 3),
+                        jobs,
+                        nodes::address,
+                        SoakNodes.COUNT,
+                        checkers::onAnswer);
+        faults =
+                FaultSchedule.of(
+                        seed,
+                        options.faults(),
+                        SoakNodes.COUNT,
+                        WARM_UP_MICROS,
+                        WARM_UP_MICROS + (long) options.faultSeconds() * MICROS_PER_SECOND);
+    }
+
+    /** Where settings and logs of the controllers are. */
+    Path directory() {
+        return directory;
+    }
+
+    private void onViolation(String rule, String text) {
+        if (violations.size() < MAX_VIOLATIONS) {
+            violations.add(rule + " at " + loop.nowMicros() + ": " + text);
+        }
+    }
+
+    SoakReport play() throws IOException, InterruptedException {
+        long startMicros = loop.nowMicros();
+        for (NodeProcess process : nodes.processes()) {
+            process.start();
+        }
+        loop.execute(
+                () -> {
+                    store.start();
+                    cloud.start();
+                    users.start();
+                    tick();
+                });
+        awaitFirstJob(startMicros);
+        long playMicros = loop.nowMicros();
+        playFaults(playMicros);
+        awaitAnswers();
+        checkProcesses();
+        return onLoop(
+                () ->
+                        new SoakReport(
+                                seed,
+                                options.agents(),
+                                faults,
+                                checkers.all(),
+                                List.copyOf(violations),
+                                (int) jobs.values().stream().filter(SoakJob::isAccepted).count(),
+                                (allAnsweredMicros - faultsOverMicros) / 1e6,
+                                (loop.nowMicros() - startMicros) / 60e6));
+    }
+
+    private void tick() {
+        checkers.onTick(loop.nowMicros());
+        loop.schedule(TICK_MICROS, this::tick);
+    }
+
+    private void awaitFirstJob(long startMicros) throws InterruptedException {
+        while (!onLoop(() -> jobs.values().stream().anyMatch(SoakJob::isAccepted))) {
+            if (loop.nowMicros() - startMicros > START_TIMEOUT_MICROS) {
+                throw new IllegalStateException("no job was accepted; logs are in " + directory);
+            }
+            Thread.sleep(POLL_MILLIS);
+        }
+    }
+
+    private void playFaults(long startMicros) throws IOException, InterruptedException {
+        List<FaultSchedule.Fault> open = new ArrayList<>();
+        for (FaultSchedule.Fault fault : faults) {
+            endFaultsBefore(open, startMicros, fault.atMicros());
+            sleepUntil(startMicros + fault.atMicros());
+            begin(fault);
+            open.add(fault);
+        }
+        endFaultsBefore(open, startMicros, Long.MAX_VALUE);
+        faultsOverMicros = loop.nowMicros();
+        loop.execute(
+                () -> {
+                    users.stopSubmitting();
+                    checkers.onFaultsOver(faultsOverMicros);
+                });
+    }
+
+    private void endFaultsBefore(List<FaultSchedule.Fault> open, long startMicros, long micros)
+            throws IOException, InterruptedException {
+        List<FaultSchedule.Fault> due =
+                open.stream()
+                        .filter(fault -> fault.endMicros() <= micros)
+                        .sorted((a, b) -> Long.compare(a.endMicros(), b.endMicros()))
+                        .toList();
+        for (FaultSchedule.Fault fault : due) {
+            sleepUntil(startMicros + fault.endMicros());
+            end(fault);
+            open.remove(fault);
+        }
+    }
+
+    private void sleepUntil(long micros) throws InterruptedException {
+        long leftMicros = micros - loop.nowMicros();
+        if (leftMicros > 0) {
+            TimeUnit.MICROSECONDS.sleep(leftMicros);
+        }
+    }
+
+    private void begin(FaultSchedule.Fault fault) throws IOException, InterruptedException {
+        switch (fault.kind()) {
+            case KILL_NODE -> nodes.process(fault.node()).kill();
+            case KILL_ALL -> killAll();
+            case LEADERS_IN_SERIES -> killLeaders(fault.variant() + 2);
+            case PAUSE_NODE -> nodes.process(fault.node()).pause();
+            case CUT_PEERS -> setModes(nodes.peerLinks(fault.node()), cutMode(fault));
+            case CUT_STORE -> nodes.storeLink(fault.node()).setMode(cutMode(fault));
+            case CUT_CLOUD -> nodes.cloudLink(fault.node()).setMode(LinkProxy.Mode.HANGS);
+            case RESET_LINKS -> nodes.allLinks().forEach(LinkProxy::reset);
+            case DELAY_LINKS -> {
+                nodes.storeLink(fault.node()).setMode(LinkProxy.Mode.SLOW);
+                setModes(nodes.peerLinks(fault.node()), LinkProxy.Mode.SLOW);
+            }
+            case STORE_OUT -> loop.execute(() -> store.setOutage(true));
+            case STORE_REFUSES_NODE -> loop.execute(() -> store.refuse(fault.node()));
+            case STORE_LOSES_ANSWERS -> loop.execute(() -> store.setLosesAnswers(true));
+            case AGENTS_HANG -> loop.execute(() -> hitAgents(fault));
+            case AGENTS_MUTE -> loop.execute(() -> hitAgents(fault));
+            case AGENTS_DIE -> loop.execute(() -> hitAgents(fault));
+        }
+    }
+
+    private static LinkProxy.Mode cutMode(FaultSchedule.Fault fault) {
+        return switch (fault.variant()) {
+            case 0 -> LinkProxy.Mode.HANGS;
+            case 1 -> LinkProxy.Mode.REFUSES;
+            default -> LinkProxy.Mode.ANSWERS_HANG;
+        };
+    }
+
+    private static void setModes(List<LinkProxy> links, LinkProxy.Mode mode) {
+        links.forEach(link -> link.setMode(mode));
+        if (mode == LinkProxy.Mode.REFUSES) {
+            links.forEach(LinkProxy::reset);
+        }
+    }
+
+    private void end(FaultSchedule.Fault fault) throws IOException, InterruptedException {
+        switch (fault.kind()) {
+            case KILL_NODE -> restart(fault.node());
+            case KILL_ALL -> {
+                for (int node = 0; node < SoakNodes.COUNT; node++) {
+                    restart(node);
+                }
+            }
+            case PAUSE_NODE -> nodes.process(fault.node()).resume();
+            case CUT_PEERS, DELAY_LINKS -> {
+                nodes.storeLink(fault.node()).setMode(LinkProxy.Mode.OPEN);
+                setModes(nodes.peerLinks(fault.node()), LinkProxy.Mode.OPEN);
+            }
+            case CUT_STORE -> nodes.storeLink(fault.node()).setMode(LinkProxy.Mode.OPEN);
+            case CUT_CLOUD -> nodes.cloudLink(fault.node()).setMode(LinkProxy.Mode.OPEN);
+            case STORE_OUT -> loop.execute(() -> store.setOutage(false));
+            case STORE_REFUSES_NODE -> loop.execute(store::refuseNobody);
+            case STORE_LOSES_ANSWERS -> loop.execute(() -> store.setLosesAnswers(false));
+            case LEADERS_IN_SERIES, RESET_LINKS, AGENTS_HANG, AGENTS_MUTE, AGENTS_DIE -> {}
+        }
+    }
+
+    private void restart(int node) throws IOException {
+        if (!nodes.process(node).isStarted()) {
+            nodes.process(node).start();
+        }
+    }
+
+    private void killAll() throws InterruptedException {
+        for (NodeProcess process : nodes.processes()) {
+            process.kill();
+        }
+    }
+
+    /** Ends whoever leads, several times, each back at once. */
+    private void killLeaders(int times) throws IOException, InterruptedException {
+        for (int i = 0; i < times; i++) {
+            int node = onLoop(() -> leader);
+            if (nodes.process(node).isStarted()) {
+                nodes.process(node).kill();
+                Thread.sleep(300);
+                nodes.process(node).start();
+            }
+            Thread.sleep(1_500);
+        }
+    }
+
+    private void hitAgents(FaultSchedule.Fault fault) {
+        Random random = new Random(seed + fault.atMicros());
+        for (SoakAgent agent : List.copyOf(cloud.agents())) {
+            if (random.nextInt(4) == 0) {
+                switch (fault.kind()) {
+                    case AGENTS_HANG -> agent.hang(fault.durationMicros());
+                    case AGENTS_MUTE -> agent.mute(fault.durationMicros());
+                    default -> cloud.fail(agent);
+                }
+            }
+        }
+    }
+
+    private void awaitAnswers() throws InterruptedException {
+        boolean checked = false;
+        while (!checked || loop.nowMicros() - faultsOverMicros < MIN_QUIET_MICROS) {
+            if (!checked && onLoop(checkers::isUnansweredRuleChecked)) {
+                checked = true;
+                allAnsweredMicros = loop.nowMicros();
+            }
+            if (loop.nowMicros() - faultsOverMicros > MAX_QUIET_MICROS) {
+                throw new IllegalStateException("the rule of 75 s was never judged");
+            }
+            Thread.sleep(POLL_MILLIS);
+        }
+    }
+
+    private void checkProcesses() throws IOException, InterruptedException {
+        for (int node = 0; node < SoakNodes.COUNT; node++) {
+            NodeProcess process = nodes.process(node);
+            String label = SoakNodes.label(node);
+            report(process.unexpectedEnds(), "process_ended", label);
+            report(process.logLines("event=invariant_violated"), "invariant_violated", label);
+        }
+    }
+
+    private void report(long count, String rule, String node) throws InterruptedException {
+        if (count > 0) {
+            onLoop(() -> violations.add(rule + ": " + count + " at " + node));
+        }
+    }
+
+    private <T> T onLoop(Supplier<T> task) throws InterruptedException {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        loop.execute(() -> result.complete(task.get()));
+        try {
+            return result.get(START_TIMEOUT_MICROS, TimeUnit.MICROSECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            throw new IllegalStateException("the driver's loop stands still", e);
+        }
+    }
+
+    private SoakCloud.Boot booter() {
+        return new SoakCloud.Boot() {
+            @Override
+            public SoakAgent boot(TaskStart.MachineFacts machine) {
+                SoakAgent agent =
+                        new SoakAgent(
+                                loop,
+                                new UndertowTransport(loop, thread, buffers, 1),
+                                surroundings(),
+                                new Random(seed + machine.name().hashCode()),
+                                machine,
+                                address(machine.name()),
+                                (long) (SoakNodes.REPORT_SECONDS * MICROS_PER_SECOND),
+                                (long) (SoakNodes.LEASE_SECONDS * MICROS_PER_SECOND));
+                agentsByAddress.put(agent.address(), agent);
+                return agent;
+            }
+
+            @Override
+            public String address(String machine) {
+                int number = Integer.parseInt(machine.substring(machine.indexOf('-') + 1));
+                return "127.1."
+                        + (1 + number / MACHINES_PER_BLOCK)
+                        + "."
+                        + (1 + number % MACHINES_PER_BLOCK)
+                        + ":"
+                        + agentPort;
+            }
+        };
+    }
+
+    private SoakAgent.Surroundings surroundings() {
+        return new SoakAgent.Surroundings() {
+            @Override
+            public SoakJob job(String jobId) {
+                return jobs.get(jobId);
+            }
+
+            @Override
+            public List<String> nodeLabels() {
+                return labels;
+            }
+
+            @Override
+            public String address(int node) {
+                return nodes.address(node);
+            }
+
+            @Override
+            public void onTaskStarted(TaskStart start) {
+                checkers.onTaskStarted(start);
+            }
+
+            @Override
+            public void onTaskGone(String machine, String taskId) {
+                checkers.onTaskGone(machine, taskId);
+            }
+
+            @Override
+            public void onToken(long fencingToken, int node) {
+                if (fencingToken > highestToken) {
+                    highestToken = fencingToken;
+                    leader = node;
+                }
+            }
+        };
+    }
+
+    private Undertow startServer() {
+        Undertow.Builder builder =
+                Undertow.builder()
+                        .setWorker(worker)
+                        .setByteBufferPool(buffers)
+                        .addHttpListener(agentPort, "0.0.0.0")
+                        .addHttpListener(cloudPort, "127.0.0.1")
+                        .setHandler(
+                                exchange ->
+                                        exchange.getRequestReceiver()
+                                                .receiveFullBytes(
+                                                        (done, body) ->
+                                                                done.dispatch(
+                                                                        SameThreadExecutor.INSTANCE,
+                                                                        () -> serve(done, body))));
+        storePorts.forEach(port -> builder.addHttpListener(port, "127.0.0.1"));
+        Undertow built = builder.build();
+        built.start();
+        return built;
+    }
+
+    private void serve(HttpServerExchange exchange, byte[] bytes) {
+        String query = exchange.getQueryString();
+        String path = exchange.getRequestPath() + (query.isEmpty() ? "" : "?" + query);
+        String method = exchange.getRequestMethod().toString();
+        Map<String, Object> body;
+        try {
+            body = bytes.length == 0 ? Map.of() : Cbor.decodeMap(bytes);
+        } catch (MalformedMessageException e) {
+            reply(exchange, UserAnswer.BAD_REQUEST, Map.of());
+            return;
+        }
+        InetSocketAddress destination = exchange.getDestinationAddress();
+        int port = destination.getPort();
+        if (port == agentPort) {
+            String address = destination.getAddress().getHostAddress() + ":" + port;
+            serveAgent(exchange, agentsByAddress.get(address), path, body);
+        } else if (port == cloudPort) {
+            cloud.handle(method, path, body, (status, map) -> reply(exchange, status, map));
+        } else {
+            int node = storePorts.indexOf(port);
+            store.handle(node, method, path, body, (status, map) -> reply(exchange, status, map));
+        }
+    }
+
+    private static void serveAgent(
+            HttpServerExchange exchange, SoakAgent agent, String path, Map<String, Object> body) {
+        if (agent == null) {
+            reply(exchange, UserAnswer.NOT_FOUND, Map.of());
+        } else if (path.equals("/show")) {
+            reply(exchange, UserAnswer.OK, agent.status());
+        } else {
+            agent.direct(body, (status, map) -> reply(exchange, status, map));
+        }
+    }
+
+    private static void reply(HttpServerExchange exchange, int status, Map<String, Object> map) {
+        if (!exchange.isResponseStarted()) {
+            exchange.setStatusCode(status);
+            exchange.getResponseSender().send(ByteBuffer.wrap(Cbor.encode(map)));
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        nodes.close();
+        loop.stop();
+        server.stop();
+        worker.shutdownNow();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/woadloom/soak/SoakStore.java
@@ -0,0 +1,111 @@
+package org.woadloom.soak;
+
+import java.util.Map;
+import java.util.Random;
+import org.woadloom.net.EventLoop;
+import org.woadloom.settings.ServiceSettings;
+import org.woadloom.sim.SimulatedEventLoop;
+import org.woadloom.sim.SimulatedStore;
+
+/**
+ * The store as nodes meet it: the simulated one on the real clock, behind a latency, a limit of
+ * requests, and faults. Each node has a way of its own to it.
+ */
+final class SoakStore {
+    private static final int UNAVAILABLE = 503;
+    private static final int TOO_MANY_REQUESTS = 429;
+    private static final int MIN_LATENCY_MICROS = 1_000;
+    private static final int LATENCY_SPREAD_MICROS = 5_000;
+    private static final int LATE_MIN_MICROS = 2_000_000;
+    private static final int LATE_SPREAD_MICROS = 8_000_000;
+    private static final int LOST_OF_HUNDRED = 30;
+    private static final long CLOCK_INTERVAL_MICROS = 1_000;
+    private static final int NOBODY = -1;
+
+    private final EventLoop loop;
+    private final Random random;
+    private final ServiceSettings.Store limits;
+    private final SimulatedEventLoop clock = new SimulatedEventLoop();
+    private final SimulatedStore store;
+    private final long startMicros;
+    private double requestTokens;
+    private long requestTokensMicros;
+    private boolean losesAnswers;
+    private int refusedNode = NOBODY;
+
+    SoakStore(EventLoop loop, Random random, ServiceSettings.Store limits) {
+        this.loop = loop;
+        this.random = random;
+        this.limits = limits;
+        store = new SimulatedStore(clock, limits).withFullPages();
+        startMicros = loop.nowMicros();
+    }
+
+    void start() {
+        clock.run(loop.nowMicros() - startMicros);
+        loop.schedule(CLOCK_INTERVAL_MICROS, this::start);
+    }
+
+    void setOutage(boolean out) {
+        store.outage(out);
+    }
+
+    void setLosesAnswers(boolean loses) {
+        losesAnswers = loses;
+    }
+
+    void refuse(int node) {
+        refusedNode = node;
+    }
+
+    void refuseNobody() {
+        refusedNode = NOBODY;
+    }
+
+    void handle(
+            int node,
+            String method,
+            String path,
+            Map<String, Object> body,
+            SimulatedStore.Answer answer) {
+        int latency = MIN_LATENCY_MICROS + random.nextInt(LATENCY_SPREAD_MICROS);
+        loop.schedule(latency, () -> serve(node, method, path, body, answer));
+    }
+
+    private void serve(
+            int node,
+            String method,
+            String path,
+            Map<String, Object> body,
+            SimulatedStore.Answer answer) {
+        boolean isWatch = path.startsWith("/follow?") && !path.contains("blockMs=0");
+        if (node == refusedNode && !isWatch) {
+            answer.answer(UNAVAILABLE, Map.of("error", "trouble"));
+        } else if (!takeRequestToken()) {
+            answer.answer(TOO_MANY_REQUESTS, Map.of("error", "too many requests"));
+        } else if (losesAnswers && path.equals("/txn") && random.nextInt(100) < LOST_OF_HUNDRED) {
+            loseAnswer(method, path, body);
+        } else {
+            store.handle(method, path, body, answer);
+        }
+    }
+
+    /** Half of them are carried out at once, the others late. */
+    private void loseAnswer(String method, String path, Map<String, Object> body) {
+        long delay =
+                random.nextBoolean() ? 1 : LATE_MIN_MICROS + random.nextInt(LATE_SPREAD_MICROS);
+        loop.schedule(delay, () -> store.handle(method, path, body, (status, map) -> {}));
+    }
+
+    private boolean takeRequestToken() {
+        long now = loop.nowMicros();
+        double refilled = (now - requestTokensMicros) * limits.rps() / 1e6;
+        requestTokens = Math.min(limits.rps(), requestTokens + refilled);
+        requestTokensMicros = now;
+        if (requestTokens < 1) {
+            return false;
+        }
+        requestTokens--;
+        return true;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/woadloom/soak/SoakTest.java
@@ -0,0 +1,98 @@
+package org.woadloom.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.EnumSet;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** A short soak of three real processes, and what is told of wrong arguments. */
+class SoakTest {
+    private static final long SEED = 1;
+    private static final int AGENTS = 12;
+    private static final int FAULT_SECONDS = 25;
+
+    /** The classes under test: the package is not built when tests run. */
+    private static List<String> program() {
+        String classPath =
+                System.getProperty(
+                        "surefire.test.class.path", System.getProperty("java.class.path"));
+        return List.of(
+                "java",
+                "-Xmx64m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                classPath,
+                "org.woadloom.cli.Main",
+                "serve",
+                "--config");
+    }
+
+    @Test
+    void rulesHoldUnderRandomFaultsOfRealProcesses() throws Exception {
+        SoakOptions options =
+                new SoakOptions(
+                        List.of(SEED),
+                        AGENTS,
+                        FAULT_SECONDS,
+                        EnumSet.allOf(FaultKind.class),
+                        program());
+        ByteArrayOutputStream printed = new ByteArrayOutputStream();
+        boolean good =
+                SoakCommand.play(
+                        new PrintStream(printed, true, StandardCharsets.UTF_8), options, SEED);
+        String report = printed.toString(StandardCharsets.UTF_8);
+        System.out.println(report);
+        assertTrue(good, report);
+    }
+
+    @Test
+    void aSeedAlwaysGivesTheSameFaults() {
+        List<FaultSchedule.Fault> faults = schedule(7);
+        assertEquals(faults, schedule(7));
+        assertTrue(faults.size() > 20, faults.size() + " faults");
+        assertTrue(!faults.equals(schedule(8)), "another seed, the same faults");
+    }
+
+    private static List<FaultSchedule.Fault> schedule(long seed) {
+        return FaultSchedule.of(
+                seed, EnumSet.allOf(FaultKind.class), SoakNodes.COUNT, 0, 120_000_000);
+    }
+
+    @Test
+    void aMissingPackageIsTold(@TempDir Path empty) {
+        SoakOptions.UsageException missing =
+                assertThrows(
+                        SoakOptions.UsageException.class,
+                        () -> SoakOptions.parse(empty, "--seeds", "1"));
+        assertEquals("no package at target/woadloom.jar: build it first", missing.getMessage());
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "'', soak: no seeds: give --seeds FIRST-LAST",
+        "--seeds, soak: --seeds needs a value",
+        "--seeds 5-3, soak: no seeds in 5-3",
+        "--seeds x, soak: not a number from 1 to 2147483647: x",
+        "--seeds 1 --agents 0, soak: not a number from 1 to 500: 0",
+        "--seeds 1 --faults flood, soak: unknown fault flood",
+        "--seed 1, soak: unknown option --seed"
+    })
+    void wrongArgumentsAreToldInOneLine(String arguments, String expected) throws Exception {
+        ByteArrayOutputStream printed = new ByteArrayOutputStream();
+        String[] split = arguments.isEmpty() ? new String[0] : arguments.split(" ");
+        int code = SoakCommand.run(new PrintStream(printed, true, StandardCharsets.UTF_8), split);
+        assertEquals(2, code);
+        assertEquals(expected, printed.toString(StandardCharsets.UTF_8).strip());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/woadloom/soak/UserAnswer.java
@@ -0,0 +1,31 @@
+package org.woadloom.soak;
+
+/**
+ * What a user was told.
+ *
+ * @param jobStatus null where the answer names none
+ */
+record UserAnswer(
+        Request request,
+        String jobId,
+        int status,
+        String jobStatus,
+        long askedMicros,
+        long answeredMicros) {
+    static final int OK = 200;
+    static final int CREATED = 201;
+    static final int BAD_REQUEST = 400;
+    static final int NOT_FOUND = 404;
+    static final int NEVER_RUNNABLE = 422;
+
+    /** The kinds of requests. */
+    enum Request {
+        SUBMIT,
+        POLL,
+        CANCEL
+    }
+
+    boolean isSuccess() {
+        return status == OK || status == CREATED;
+    }
+}
