StepCostBenchmark measures a new leader after a full stop

After the steady state the benchmark gives a new scheduler all records, and every agent reports an expired lease. The sampler looked for methods by their former names and found none.

--- a/src/test/java/org/woadloom/core/StepCostBenchmark.java
+++ b/src/test/java/org/woadloom/core/StepCostBenchmark.java
@@ -25,8 +25,10 @@
 /**
  * Measures what the core costs by the size of the fleet: machines that report every four seconds,
  * three open jobs for each of them, most of which wait. Prints processor time and allocation for a
- * step and a heartbeat, and where the time goes. Run by hand, never by the tests: {@code java -cp
- * target/classes:target/test-classes:LIBRARIES org.woadloom.core.StepCostBenchmark MACHINES...}
+ * step and a heartbeat, and where the time goes; then the same for the first seconds of a new
+ * leader to whom all agents report that their leases have expired. Run by hand, never by the tests:
+ * {@code java -cp target/classes:target/test-classes:LIBRARIES org.woadloom.core.StepCostBenchmark
+ * MACHINES...}
  */
 final class StepCostBenchmark {
     private static final long SECOND = 1_000_000;
@@ -34,6 +36,7 @@
     private static final long HEARTBEAT_MICROS = 4 * SECOND;
     private static final int WARM_UP_S = 20;
     private static final int MEASURED_S = 5;
+    private static final int TAKEOVER_S = 8;
     private static final int JOBS_PER_MACHINE = 3;
     private static final int CLASSES = 6;
     private static final int TEAMS = 5;
@@ -43,7 +46,10 @@
 
     private final Random random = new Random(1);
     private final int size;
-    private final Scheduler core;
+    private final SchedulerSettings settings;
+    private Scheduler core;
+    private long term = TERM;
+    private final Map<String, JobRecord> records = new LinkedHashMap<>();
     private final Map<String, Worker> agents = new LinkedHashMap<>();
     private final ArrayDeque<SchedulerEvent> outcomes = new ArrayDeque<>();
     private long now = 100 * SECOND;
@@ -61,6 +67,7 @@
         final Map<TaskId, Long> ends = new LinkedHashMap<>();
         long token;
         long sequence;
+        long incarnation = 1;
 
         Worker(String host, String zone) {
             this.host = host;
@@ -74,18 +81,18 @@
         for (int i = 0; i < TEAMS; i++) {
             teams.add(new Team("team-" + i, size * 16.0 / 2 / TEAMS, size * 16.0, 0, 0));
         }
-        core =
-                new Scheduler(
-                        new SchedulerSettings(
-                                "node",
-                                Map.of(),
-                                teams,
-                                List.of(),
-                                HEARTBEAT_MICROS,
-                                16 * SECOND,
-                                30 * SECOND,
-                                3 * SECOND,
-                                OperatorSettings.defaults()));
+        settings =
+                new SchedulerSettings(
+                        "node",
+                        Map.of(),
+                        teams,
+                        List.of(),
+                        HEARTBEAT_MICROS,
+                        16 * SECOND,
+                        30 * SECOND,
+                        3 * SECOND,
+                        OperatorSettings.defaults());
+        core = new Scheduler(settings);
     }
 
     public static void main(String[] args) throws MalformedMessageException, InterruptedException {
@@ -143,6 +150,50 @@
                 heartbeats / (double) MEASURED_S,
                 (launches - launchesBefore) / (double) MEASURED_S);
         sampler.print();
+        takeOver();
+    }
+
+    /** A new leader after a full stop that was longer than the agents' leases. */
+    private void takeOver() throws MalformedMessageException, InterruptedException {
+        term++;
+        core = new Scheduler(settings);
+        outcomes.clear();
+        List<SchedulerEvent.StoredMachine> machines = new ArrayList<>();
+        for (Worker agent : agents.values()) {
+            agent.tasks.clear();
+            agent.ends.clear();
+            agent.incarnation++;
+            machines.add(
+                    new SchedulerEvent.StoredMachine(
+                            new MachineRecord(agent.host, "m16", agent.zone, false, false),
+                            ++stamps));
+        }
+        List<SchedulerEvent.StoredJob> jobs = new ArrayList<>();
+        records.values()
+                .forEach(record -> jobs.add(new SchedulerEvent.StoredJob(record, ++stamps)));
+        now += SECOND;
+        Sampler sampler = new Sampler(Thread.currentThread());
+        sampler.start();
+        long load =
+                step(
+                        new ArrayList<>(
+                                List.of(
+                                        new SchedulerEvent.StoreLimitsChanged(
+                                                8192, RecordFormat.COMPACT, 1_000, false, false),
+                                        new SchedulerEvent.MachineTypesRead(List.of(TYPE)),
+                                        new SchedulerEvent.LeadershipAcquired(
+                                                term, jobs, machines, now))));
+        List<Long> times = new ArrayList<>();
+        run(TAKEOVER_S, times);
+        sampler.done = true;
+        sampler.join();
+        long total = times.stream().mapToLong(Long::longValue).sum();
+        times.sort(null);
+        System.out.printf(
+                "| new leader: load %.0f ms; %d s of the fleet take %.1f s, largest step %.0f ms"
+                        + " |%n",
+                load / 1e6, TAKEOVER_S, total / 1e9, times.get(times.size() - 1) / 1e6);
+        sampler.print();
     }
 
     private static long processorNanos() {
@@ -192,8 +243,9 @@
         map.put("ramGb", 4.0);
         map.put("bundle", "img-" + random.nextInt(40));
         map.put("runtimeS", 60.0);
-        return new SchedulerEvent.JobStored(
-                JobRecord.accepted(JobDescription.parse(map), now), ++stamps);
+        JobRecord record = JobRecord.accepted(JobDescription.parse(map), now);
+        records.put(record.description().jobId(), record);
+        return new SchedulerEvent.JobStored(record, ++stamps);
     }
 
     private SchedulerEvent.HeartbeatReceived heartbeat(Worker agent) {
@@ -227,7 +279,7 @@
                 "m16",
                 agent.zone,
                 false,
-                1,
+                agent.incarnation,
                 ++agent.sequence,
                 agent.token,
                 -1,
@@ -283,6 +335,7 @@
                         new SchedulerEvent.DirectCommandCompleted(
                                 send.commandId(), send.host(), 200, report(agent)));
             } else if (action instanceof SchedulerAction.WriteJob put) {
+                records.put(put.record().description().jobId(), put.record());
                 outcomes.add(
                         new SchedulerEvent.JobWriteCompleted(
                                 put.record().description().jobId(),
@@ -291,6 +344,7 @@
                                 ++stamps));
             } else if (action instanceof SchedulerAction.WriteFinalState finish) {
                 finished++;
+                records.remove(finish.record().jobId());
                 outcomes.add(
                         new SchedulerEvent.JobWriteCompleted(
                                 finish.record().jobId(),
@@ -345,7 +399,7 @@
                                     + "."
                                     + frame.getMethodName();
                     inner = inner == null ? name : inner;
-                    if (name.equals("Core.work") || name.equals("Core.apply")) {
+                    if (name.equals("LeaderTerm.runPass") || name.equals("Scheduler.step")) {
                         samples++;
                         parts.merge(
                                 name + " > " + (before == null ? "itself" : before),
