--- a/src/test/java/org/woadloom/core/StepCostBenchmark.java
+++ b/src/test/java/org/woadloom/core/StepCostBenchmark.java
@@ -28,7 +28,8 @@
  * step and a heartbeat, and where the time goes; then the same for the first seconds of a new
  * leader to whom all agents report that their leases have expired. Run by hand, never by the tests:
  * {@code java -cp target/classes:target/test-classes:LIBRARIES org.woadloom.core.StepCostBenchmark
- * MACHINES...}
+ * SIZE...}, where a size is a number of machines, or MACHINESxTASKS for one open job a machine with
+ * about so many small tasks.
  */
 final class StepCostBenchmark {
     private static final long SECOND = 1_000_000;
@@ -38,6 +39,7 @@
     private static final int MEASURED_S = 5;
     private static final int TAKEOVER_S = 8;
     private static final int JOBS_PER_MACHINE = 3;
+    private static final int SMALL_JOBS = 0;
     private static final int CLASSES = 6;
     private static final int TEAMS = 5;
     private static final long TERM = 5;
@@ -46,6 +48,10 @@
 
     private final Random random = new Random(1);
     private final int size;
+
+    /** Tasks of a large job, or {@link #SMALL_JOBS}. */
+    private final int tasksOfLargeJob;
+
     private final SchedulerSettings settings;
     private Scheduler core;
     private long term = TERM;
@@ -75,8 +81,9 @@
         }
     }
 
-    private StepCostBenchmark(int size) {
+    private StepCostBenchmark(int size, int tasksOfLargeJob) {
         this.size = size;
+        this.tasksOfLargeJob = tasksOfLargeJob;
         List<Team> teams = new ArrayList<>();
         for (int i = 0; i < TEAMS; i++) {
             teams.add(new Team("team-" + i, size * 16.0 / 2 / TEAMS, size * 16.0, 0, 0));
@@ -100,7 +107,9 @@
                 "| machines, open jobs | step: mean, p99, KB | heartbeat | a second of the fleet"
                         + " |");
         for (String size : args) {
-            new StepCostBenchmark(Integer.parseInt(size)).play();
+            String[] parts = size.split("x", 2);
+            int tasks = parts.length == 1 ? SMALL_JOBS : Integer.parseInt(parts[1]);
+            new StepCostBenchmark(Integer.parseInt(parts[0]), tasks).play();
         }
     }
 
@@ -218,7 +227,7 @@
             for (due += size * (double) STEP_MICROS / HEARTBEAT_MICROS; due >= 1; due--) {
                 commands.add(heartbeat(order.get(next++ % size)));
             }
-            while (submitted - finished < size * JOBS_PER_MACHINE && commands.size() < 200) {
+            while (submitted - finished < openJobs() && commands.size() < 200) {
                 commands.add(submission());
             }
             if (i % 10 == 0) {
@@ -231,6 +240,20 @@
         }
     }
 
+    private boolean hasLargeJobs() {
+        return tasksOfLargeJob != SMALL_JOBS;
+    }
+
+    private int openJobs() {
+        return hasLargeJobs() ? size : size * JOBS_PER_MACHINE;
+    }
+
+    private long tasks() {
+        return hasLargeJobs()
+                ? tasksOfLargeJob / 2 + random.nextInt(tasksOfLargeJob)
+                : 1 + random.nextInt(4);
+    }
+
     private SchedulerEvent submission() throws MalformedMessageException {
         Map<String, Object> map = new LinkedHashMap<>();
         map.put("uid", String.format("j-%06d", submitted++));
@@ -238,9 +261,9 @@
         map.put("crew", "team-" + random.nextInt(TEAMS));
         map.put("shape", "batch");
         map.put("rank", random.nextInt(4) == 0 ? "high" : "standard");
-        map.put("shards", (long) 1 + random.nextInt(4));
-        map.put("vcpus", 4.0);
-        map.put("ramGb", 4.0);
+        map.put("shards", tasks());
+        map.put("vcpus", hasLargeJobs() ? 1.0 : 4.0);
+        map.put("ramGb", hasLargeJobs() ? 1.0 : 4.0);
         map.put("bundle", "img-" + random.nextInt(40));
         map.put("runtimeS", 60.0);
         JobRecord record = JobRecord.accepted(JobDescription.parse(map), now);
