--- a/src/test/java/org/woadloom/sim/StatusRecoveryTest.java
+++ b/src/test/java/org/woadloom/sim/StatusRecoveryTest.java
@@ -47,6 +47,8 @@
     private static final int LOADED_PER_SECOND = 20;
     private static final long CALM = 20 * SECOND;
     private static final int OK = 200;
+    private static final int BAD_REQUEST = 400;
+    private static final int NOT_FOUND = 404;
     private static final int TOO_MANY_REQUESTS = 429;
     private static final ServiceSettings.Store LIMITS =
             new ServiceSettings.Store(150, 60, 8192, 12, null);
@@ -314,4 +316,22 @@
         startNodes();
         assertAllAnsweredAgain();
     }
+
+    @Test
+    void wrongRequestsUnansweredDuringOverload() {
+        startPolling();
+        silent = true;
+        sim.run(sim.now() + SILENCE);
+        JobApi node = nodes.get(0);
+        List<Integer> statuses = new ArrayList<>();
+        node.status("no job's id", response -> statuses.add(response.status()));
+        node.cancel("no job's id", response -> statuses.add(response.status()));
+        node.submit(new byte[] {1, 2, 3}, response -> statuses.add(response.status()));
+        assertEquals(List.of(NOT_FOUND, NOT_FOUND, BAD_REQUEST), statuses, "answers at once");
+        silent = false;
+        sim.run(sim.now() + MAX_UNANSWERED);
+        node.status(jobId(JOBS), response -> statuses.add(response.status()));
+        sim.run(sim.now() + USER_TIMEOUT);
+        assertEquals(NOT_FOUND, statuses.get(statuses.size() - 1), "a job that nobody submitted");
+    }
 }
