Two tests follow the changed order of requests and the run-time invariants

- FaultCombinationsTest.aBrokenServiceIsCaught (UNSEEN_RECORDS): the broken service is now stopped by its own invariant ACCEPTED_JOB_KNOWN, before the rule from outside can object.
It now takes the first that has tasks; the golden file is unchanged, and passes.

--- a/src/test/java/org/woadloom/sim/FaultCombinationsTest.java
+++ b/src/test/java/org/woadloom/sim/FaultCombinationsTest.java
@@ -11,11 +11,13 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.IntSupplier;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.extension.ExtendWith;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.woadloom.invariant.Invariants;
 import org.woadloom.protocol.Priority;
 import org.woadloom.store.StoreKeys;
 
@@ -348,6 +350,8 @@
         "NO_CONDITIONS, TEN_LEADERS, ''"
     })
     void aBrokenServiceIsCaught(Scenario.Flaw flaw, Meeting meeting, String rule) {
+        // What the service itself would refuse is to be caught from outside as well.
+        System.clearProperty(Invariants.THROW_PROPERTY);
         InvariantViolation caught =
                 assertThrows(
                         InvariantViolation.class,
@@ -359,6 +363,11 @@
         assertTrue(caught.getMessage().startsWith(rule), caught.getMessage());
     }
 
+    @AfterEach
+    void throwOnViolatedInvariants() {
+        System.setProperty(Invariants.THROW_PROPERTY, "true");
+    }
+
     /**
      * A node's word without an answer used to be put unconditionally: carried out after the next
      * one it hung the key on a grant that nobody renewed, and the node was taken to have none,
--- a/src/test/java/org/woadloom/sim/StoredValuesGoldenTest.java
+++ b/src/test/java/org/woadloom/sim/StoredValuesGoldenTest.java
@@ -59,14 +59,31 @@
                     letter.containsKey("packed-" + items)
                             ? unpack((String) letter.get("packed-" + items))
                             : letter.get(items);
-            if (list instanceof List<?> all && !all.isEmpty()) {
-                shapes.putIfAbsent(format + " " + items, ValueShape.of(letter));
-                shapes.putIfAbsent(
-                        format + " " + items + ", one", ValueShape.ofEach((List<?>) all.get(0)));
+            if (list instanceof List<?> all) {
+                all.stream()
+                        .map(item -> (List<?>) item)
+                        .filter(StoredValuesGoldenTest::showsTasks)
+                        .findFirst()
+                        .ifPresent(item -> addShapes(format + " " + items, letter, item));
             }
         }
     }
 
+    private void addShapes(String name, Map<String, Object> letter, List<?> item) {
+        shapes.putIfAbsent(name, ValueShape.of(letter));
+        shapes.putIfAbsent(name + ", one", ValueShape.ofEach(item));
+    }
+
+    /** False for a report without tasks, which would not show their form. */
+    private static boolean showsTasks(List<?> item) {
+        return item.stream()
+                .noneMatch(
+                        part ->
+                                part instanceof Map<?, ?> map
+                                        && map.get("shards") instanceof List<?> tasks
+                                        && tasks.isEmpty());
+    }
+
     /** A packed list: Base64 of a deflated CBOR map. */
     private static Object unpack(String text) throws MalformedMessageException, IOException {
         byte[] deflated = Base64.getDecoder().decode(text);
