A lost task keeps its part of the team's limit

Cause: the team stood at 24 to 30 of its 30 CPUs by the leader's count at every moment (planned attempts count), two to nine machines fitted throughout, no class share, turn, back-off or exclusion was involved. What the lost task had used was free the moment it was lost and went to the first in the queue; from then on 1 to 4 CPUs came free at a time, which any smaller task took. The job had started, so it got no turn at the limit either.

What a task used is now held for its job until the job's next task is placed, for 60 s at most, whenever the task ends without having completed or failed: lost, drained, preempted or refused. Nobody has less than while the task was there. Reservations for it count once.

LostTaskHoldsTest fails without the change.

--- a/src/main/java/org/woadloom/core/LeaderTerm.java
+++ b/src/main/java/org/woadloom/core/LeaderTerm.java
@@ -18,6 +18,7 @@
 import org.woadloom.core.quota.ClassFairShare;
 import org.woadloom.core.quota.GuaranteedQuota;
 import org.woadloom.core.quota.QuotaRotation;
+import org.woadloom.core.quota.TeamQuota;
 import org.woadloom.core.reservation.GangReservationPlanner;
 import org.woadloom.core.reservation.Reservation;
 import org.woadloom.core.reservation.Reservations;
@@ -191,6 +192,9 @@
     }
 
     private void placeTasks() {
+        for (TeamQuota team : state.teams().values()) {
+            team.reviewLostTasks(state.nowMicros(), reservations::countFor);
+        }
         guaranteedQuota.update();
         classFairShare.update();
         quotaRotation.update();
--- a/src/main/java/org/woadloom/core/jobs/Job.java
+++ b/src/main/java/org/woadloom/core/jobs/Job.java
@@ -302,7 +302,7 @@
         attempts.add(attempt);
         tasks.take(attempt.index);
         attempt.machine.add(attempt);
-        team.add(taskResources);
+        team.onTaskPlaced(this);
     }
 
     /** Removes an attempt wherever {@link #add} put it; its task is pending again. */
--- a/src/main/java/org/woadloom/core/machines/TaskExitHandler.java
+++ b/src/main/java/org/woadloom/core/machines/TaskExitHandler.java
@@ -51,7 +51,11 @@
         if (!task.wasRefused()) {
             machine.onImageUsed(job);
         }
-        taskLosses.remove(attempt);
+        if (task.exitReason() == TaskStatus.ExitReason.ERROR) {
+            taskLosses.removeFailed(attempt);
+        } else {
+            taskLosses.remove(attempt);
+        }
         if (job.isComplete()) {
             job.persistence.requestWrite(PersistenceState.WriteReason.IMMEDIATE);
         }
--- a/src/main/java/org/woadloom/core/machines/TaskLossHandler.java
+++ b/src/main/java/org/woadloom/core/machines/TaskLossHandler.java
@@ -26,8 +26,17 @@
         remove(attempt);
     }
 
-    /** Removes an attempt whose end needs no log entry of its own. */
+    /** Removes an attempt that ended without having failed; needs no log entry of its own. */
     public void remove(TaskAttempt attempt) {
+        removeFailed(attempt);
+        Job job = attempt.job;
+        if (!job.isOver() && !job.isCompleted(attempt.index)) {
+            job.team.onTaskLost(job, state.nowMicros());
+        }
+    }
+
+    /** Removes an attempt whose task failed: what it used of its team's limit is free at once. */
+    void removeFailed(TaskAttempt attempt) {
         attempt.job.remove(attempt);
         requestOutcomeWrite(attempt.job);
         if (attempt.machine.isEmpty()) {
--- a/src/main/java/org/woadloom/core/quota/TeamQuota.java
+++ b/src/main/java/org/woadloom/core/quota/TeamQuota.java
@@ -1,6 +1,7 @@
 package org.woadloom.core.quota;
 
 import java.util.Map;
+import java.util.function.ToIntFunction;
 import org.woadloom.core.jobs.Job;
 import org.woadloom.core.placement.Resources;
 import org.woadloom.settings.Team;
@@ -30,6 +31,8 @@
 
     private Resources keptForTurn = Resources.NONE;
 
+    private final LostTaskHolds lostTasks = new LostTaskHolds();
+
     public TeamQuota(Team team) {
         this.team = team;
         this.guarantee = bounds(team.cpus(), team.gpus());
@@ -41,11 +44,31 @@
                 Resources.roundDown(cpus), Resources.roundDown(gpus), UNBOUNDED_MEMORY);
     }
 
-    /** An attempt or a reservation of the team has come. */
+    /** A reservation of the team has come. */
     public void add(Resources amount) {
         used = used.plus(amount);
     }
 
+    /** An attempt of one of the job's tasks has come. */
+    public void onTaskPlaced(Job job) {
+        used = used.plus(job.taskResources);
+        lostTasks.onPlaced(job);
+    }
+
+    /** A task of the job was lost: what it used is held until the job's next task is placed. */
+    public void onTaskLost(Job job, long nowMicros) {
+        lostTasks.onLost(job, nowMicros);
+    }
+
+    /**
+     * Ends what is held in vain for lost tasks; to be called before tasks are placed.
+     *
+     * @param reservedTasks for how many tasks of a job there are reservations, which count as used
+     */
+    public void reviewLostTasks(long nowMicros, ToIntFunction<Job> reservedTasks) {
+        lostTasks.review(nowMicros, reservedTasks);
+    }
+
     /** An attempt or a reservation of the team has ended. */
     public void subtract(Resources amount) {
         used = used.minus(amount);
@@ -68,16 +91,23 @@
 
     /** The same, where the first tasks give back what was reserved for them. */
     public int allowedTasks(Resources task, Job job, Resources credit) {
-        Resources left = limit.minus(used).plus(credit);
+        Resources free = limit.minus(used).plus(credit).minus(lostTasks.heldForOthers(job));
+        int freeTasks = free.withoutNegatives().count(task);
         if (turnHolder == job) {
-            return left.withoutNegatives().count(task);
+            return freeTasks;
         }
-        left = left.minus(keptForTurn);
+        int lost = Math.min(lostTasks.tasksOf(job), freeTasks);
+        return Math.max(lost, notKeptForOthers(free, job).withoutNegatives().count(task));
+    }
+
+    /** What of the free limit is kept neither for a turn nor for other classes than the job's. */
+    private Resources notKeptForOthers(Resources free, Job job) {
+        Resources left = free.minus(keptForTurn);
         String jobClass = job.description.jobClass();
         for (Map.Entry<String, Resources> other : keptForClasses.entrySet()) {
             left = other.getKey().equals(jobClass) ? left : left.minus(other.getValue());
         }
-        return left.withoutNegatives().count(task);
+        return left;
     }
 
     /** True if so much in all is within the limit. */
--- /dev/null
+++ b/src/test/java/org/woadloom/core/quota/LostTaskHoldsTest.java
@@ -0,0 +1,90 @@
+package org.woadloom.core.quota;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+import org.woadloom.core.SchedulerFixture;
+import org.woadloom.core.jobs.Job;
+import org.woadloom.core.jobs.TaskAttempt;
+import org.woadloom.core.machines.Machine;
+import org.woadloom.core.machines.TaskLossHandler;
+import org.woadloom.core.reservation.Reservations;
+
+/** A team at its limit of 24 CPUs loses a task of 8 while tasks of 1 CPU wait. */
+class LostTaskHoldsTest {
+    private static final long MAX_HOLD_MICROS = 60_000_000;
+
+    private final SchedulerFixture fixture = new SchedulerFixture();
+    private final Reservations reservations = new Reservations(fixture.state);
+    private final TaskLossHandler losses = new TaskLossHandler(fixture.state);
+    private final Machine machine = fixture.machine("host-1", "a");
+    private final Machine other = fixture.machine("host-2", "a");
+    private final Job large = fixture.job("j-large", 8, 1, 3);
+    private final Job small = fixture.job("j-small", 1, 1, 40);
+    private final TaskAttempt attempt = fixture.place(reservations, large, 0, machine);
+
+    LostTaskHoldsTest() {
+        fixture.place(reservations, large, 1, other);
+        for (int i = 0; i < 8; i++) {
+            fixture.place(reservations, small, i, other);
+        }
+    }
+
+    private void review() {
+        large.team.reviewLostTasks(fixture.state.nowMicros(), reservations::countFor);
+    }
+
+    /** Guards against a lost task of a started job that waited 109 s behind newer, smaller ones. */
+    @Test
+    void aLostTaskIsNotPassedOverBySmallerOnes() {
+        losses.onLost(attempt, "lease expired");
+        review();
+        assertEquals(0, small.allowedTasks());
+        assertEquals(1, large.allowedTasks());
+        fixture.place(reservations, large, 0, other);
+        assertEquals(0, large.allowedTasks());
+        assertEquals(0, small.allowedTasks());
+    }
+
+    @Test
+    void whatIsKeptForOthersDoesNotDelayALostTask() {
+        Job waiting = fixture.job("j-turn", 8, 1, 1);
+        losses.onLost(attempt, "lease expired");
+        large.team.setTurn(waiting, waiting.taskResources);
+        review();
+        assertEquals(0, waiting.allowedTasks());
+        assertEquals(1, large.allowedTasks());
+    }
+
+    @Test
+    void aLostTaskThatFindsNoMachineLeavesTheLimitToOthers() {
+        losses.onLost(attempt, "lease expired");
+        fixture.advance(MAX_HOLD_MICROS + 1);
+        review();
+        assertEquals(8, small.allowedTasks());
+    }
+
+    @Test
+    void whatAFailedTaskUsedIsFreeForOthers() {
+        large.remove(attempt);
+        review();
+        assertEquals(8, small.allowedTasks());
+    }
+
+    @Test
+    void aReservationForALostTaskCountsOnce() {
+        losses.onLost(attempt, "lease expired");
+        small.remove(small.attempt(0));
+        reservations.reserve(large, machine, large.taskResources, true, true);
+        review();
+        assertEquals(1, small.allowedTasks());
+    }
+
+    @Test
+    void aTaskThatCompletedElsewhereHoldsNothing() {
+        large.markCompleted(0);
+        losses.onLost(attempt, "lease expired");
+        review();
+        assertEquals(8, small.allowedTasks());
+    }
+}
