What is held for lost tasks is summed once

TeamQuota.allowedTasks is asked for every machine of every search, and summed the holds of all jobs each time: after a full stop every open job holds something, so a search would have cost jobs times machines times jobs. The sum is kept up to date instead. Decisions stay as they are.

--- a/src/main/java/org/woadloom/core/quota/LostTaskHolds.java
+++ b/src/main/java/org/woadloom/core/quota/LostTaskHolds.java
@@ -21,6 +21,9 @@
 
     private final Map<Job, Hold> holds = new LinkedHashMap<>();
 
+    /** What is held for all jobs: asked for each machine of each search. */
+    private Resources total = Resources.NONE;
+
     /** The lost tasks of one job. */
     private static final class Hold {
         /** When each was lost, the earliest first. */
@@ -48,13 +51,16 @@
         Hold hold = holds.computeIfAbsent(job, key -> new Hold());
         hold.lossMicros.add(nowMicros);
         hold.tasks++;
+        total = total.plus(job.taskResources);
     }
 
     /** A task of the job was placed, which may be one of those that were lost. */
     void onPlaced(Job job) {
         Hold hold = holds.get(job);
         if (hold != null) {
+            int before = hold.tasks;
             hold.onPlaced();
+            total = total.minus(job.taskResources.times(before - hold.tasks));
             if (hold.lossMicros.isEmpty()) {
                 holds.remove(job);
             }
@@ -67,6 +73,8 @@
                 (job, hold) ->
                         hold.review(nowMicros, job.pendingTasks(), reservedTasks.applyAsInt(job)));
         holds.values().removeIf(hold -> hold.lossMicros.isEmpty());
+        total = Resources.NONE;
+        holds.forEach((job, hold) -> total = total.plus(job.taskResources.times(hold.tasks)));
     }
 
     /** For how many lost tasks of the job something is held. */
@@ -77,12 +85,6 @@
 
     /** What is held for jobs other than this one. */
     Resources heldForOthers(Job job) {
-        Resources held = Resources.NONE;
-        for (Map.Entry<Job, Hold> entry : holds.entrySet()) {
-            if (entry.getKey() != job) {
-                held = held.plus(entry.getKey().taskResources.times(entry.getValue().tasks));
-            }
-        }
-        return held;
+        return total.minus(job.taskResources.times(tasksOf(job)));
     }
 }
