A started job of which nothing is placed for long gets a turn at its team's limit

Each got its first task by a turn at the limit (227, 243, 265 and 325 s) and then none for 193 to 357 s, while the team stood at 24 to 30 of its 30 CPUs with two to eleven places on machines: a job that has started had no turn and was never overdue. So it is neither the interruption nor the recovery after it.

Jobs that have not started still come first. After them a started job gets a turn for its next task when nothing of it was placed for as long (100 s). The turn ends with that task.

QuotaRotationTest has the cause by itself and fails without the change.

--- a/src/main/java/org/woadloom/core/jobs/Job.java
+++ b/src/main/java/org/woadloom/core/jobs/Job.java
@@ -68,6 +68,7 @@
     private boolean withinGuarantee;
     private int failures;
     private long firstPlacedMicros = NEVER_MICROS;
+    private long lastPlacedMicros = NEVER_MICROS;
     private long placeNotBeforeMicros;
 
     /**
@@ -299,6 +300,7 @@
                             ? queuedSinceMicros
                             : attempt.placedMicros;
         }
+        lastPlacedMicros = attempt.placedMicros;
         attempts.add(attempt);
         tasks.take(attempt.index);
         attempt.machine.add(attempt);
@@ -356,6 +358,14 @@
         return firstPlacedMicros;
     }
 
+    /**
+     * When a task of the job was last placed, or found in its record by this leader; {@link
+     * #NEVER_MICROS} for never.
+     */
+    public long lastPlacedMicros() {
+        return lastPlacedMicros;
+    }
+
     /** No task of the job is placed before this time. */
     public long placeNotBeforeMicros() {
         return placeNotBeforeMicros;
--- a/src/main/java/org/woadloom/core/quota/QuotaRotation.java
+++ b/src/main/java/org/woadloom/core/quota/QuotaRotation.java
@@ -15,7 +15,8 @@
  * <p>What comes free of a limit that is reached goes to whatever fits into it, so a gang, or a task
  * larger than those that end, might wait behind smaller ones for ever. Once such a job has waited
  * for a while without starting it gets a turn, in which the other jobs of its team leave it what it
- * needs to start. Nothing is stopped for it.
+ * needs to start. Nothing is stopped for it. Jobs that have not started come first; a started one
+ * of which nothing was placed for as long gets a turn for its next task.
  */
 public final class QuotaRotation {
     /** How long a job waits before it gets a turn: well under the four minutes to its start. */
@@ -55,6 +56,7 @@
     private static final class Turn {
         final Job job;
         final long sinceMicros;
+        final boolean hadStarted;
 
         /** Since when the limit leaves it what it needs. */
         long sufficientSinceMicros = NOT_SUFFICIENT;
@@ -62,6 +64,14 @@
         Turn(Job job, long sinceMicros) {
             this.job = job;
             this.sinceMicros = sinceMicros;
+            this.hadStarted = job.hasStarted();
+        }
+
+        /** True while the job has not got what the turn is for: its start, or its next task. */
+        boolean isWaiting() {
+            boolean isServed =
+                    hadStarted ? job.lastPlacedMicros() >= sinceMicros : job.hasStarted();
+            return QuotaRotation.isWaiting(job) && !isServed;
         }
     }
 
@@ -101,7 +111,7 @@
             turn.sufficientSinceMicros = state.nowMicros();
         }
         boolean isExpired = isExpired(turn);
-        boolean isWaiting = isWaiting(turn.job);
+        boolean isWaiting = turn.isWaiting();
         if (isExpired && isWaiting) {
             waitingForNextTurn.put(turn.job, state.nowMicros() + TURN_MICROS);
             state.log(
@@ -134,7 +144,7 @@
         Map<TeamQuota, Job> oldest = new HashMap<>();
         for (Job job : state.jobs().values()) {
             if (needsTurn(job)) {
-                oldest.merge(job.team, job, QuotaRotation::older);
+                oldest.merge(job.team, job, QuotaRotation::first);
             }
         }
         return oldest;
@@ -145,13 +155,25 @@
                 && !isPaused(job.team)
                 && isWaiting(job)
                 && !waitingForNextTurn.containsKey(job)
-                && state.nowMicros() - job.queuedSinceMicros() > PATIENCE_MICROS
+                && state.nowMicros() - waitingSinceMicros(job) > PATIENCE_MICROS
                 && job.allowedTasks() < tasksNeeded(job)
                 && !reservations.hasOthersInTeam(job);
     }
 
-    private static Job older(Job first, Job second) {
-        return second.queuedSinceMicros() < first.queuedSinceMicros() ? second : first;
+    /**
+     * The one of two that comes first: one that has not started, then the one that waits longer.
+     */
+    private static Job first(Job one, Job other) {
+        if (one.hasStarted() != other.hasStarted()) {
+            return one.hasStarted() ? other : one;
+        }
+        return waitingSinceMicros(other) < waitingSinceMicros(one) ? other : one;
+    }
+
+    private static long waitingSinceMicros(Job job) {
+        return job.hasStarted()
+                ? Math.max(job.queuedSinceMicros(), job.lastPlacedMicros())
+                : job.queuedSinceMicros();
     }
 
     private void applyTurn(TeamQuota team) {
@@ -182,7 +204,7 @@
                 LogEntry.info(event)
                         .with("job", job.jobId())
                         .with("team", team.team.name())
-                        .withSeconds("waited_s", state.nowMicros() - job.queuedSinceMicros())
+                        .withSeconds("waited_s", state.nowMicros() - waitingSinceMicros(job))
                         .with("needed_tasks", tasksNeeded(job))
                         .with("allowed_tasks", job.allowedTasks())
                         .with("replica_cpus", replicas.cpu() / Resources.UNITS));
@@ -200,7 +222,7 @@
     }
 
     private static boolean isWaiting(Job job) {
-        return !job.isOver() && job.pendingTasks() > 0 && !job.hasStarted();
+        return !job.isOver() && job.pendingTasks() > 0;
     }
 
     /** With how many tasks the job starts: a gang with all of them. */
--- a/src/test/java/org/woadloom/core/quota/QuotaRotationTest.java
+++ b/src/test/java/org/woadloom/core/quota/QuotaRotationTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.woadloom.core.LogEvent;
@@ -87,6 +88,39 @@
                         LogEvent.QUOTA_TURN_STARTED, "job=j-1", "waited_s=110", "needed_tasks=1"));
     }
 
+    /** Guards against array jobs that had one task and then none for 350 s behind smaller ones. */
+    @Test
+    void aStartedJobWhoseNextTaskIsLargerGetsATurnAfterThoseThatHaveNotStarted() {
+        Job started = fixture.job("j-started", 8, 1, 3);
+        fixture.place(reservations, started, 0, machines[0]);
+        nibble();
+        Job waiting = fixture.job("j-waiting", 6, 1, 1);
+        fixture.advance(105_000_000);
+        turns.update();
+        free(6);
+        assertEquals(1, waiting.allowedTasks());
+        assertEquals(0, started.allowedTasks());
+        fixture.place(reservations, waiting, 0, machines[0]);
+        turns.update();
+        free(8);
+        assertEquals(1, started.allowedTasks());
+        assertEquals(0, fixture.job("j-next", 1, 1, 9).allowedTasks());
+        fixture.place(reservations, started, 1, machines[0]);
+        turns.update();
+        free(2);
+        assertEquals(2, fixture.job("j-last", 1, 1, 9).allowedTasks(), "its turn is over");
+    }
+
+    /** So many small jobs end. */
+    private void free(int count) {
+        List<Job> small =
+                Arrays.stream(running()).filter(job -> job.taskResources.cpu() < 2_000).toList();
+        for (Job job : small.subList(0, count)) {
+            job.remove(job.attempt(0));
+            fixture.state.removeJob(job);
+        }
+    }
+
     /** Replicas do not end, so the small ones are not kept waiting for what will not come. */
     @Test
     void nobodyWaitsForALimitThatReplicasHold() {
