A failing test: the search for placements of a whole fleet takes one step

After a full stop all of 4,000 machines come up within seconds and every job waits. One step then examines each open machine for each job: 16,000,000 in BoundedStepTest (4,000 machines, 4,000 and 12,000 jobs of two tasks of 8 CPUs). Allowed are 320,000: a step of a tenth of the leader key's lease, at two fifths of a processor and half a microsecond a machine. The scheduler counts what its searches examine.

--- a/src/main/java/org/woadloom/core/LeaderTerm.java
+++ b/src/main/java/org/woadloom/core/LeaderTerm.java
@@ -139,6 +139,10 @@
         return reservations.size();
     }
 
+    long candidatesExamined() {
+        return placer.candidatesExamined();
+    }
+
     int recordsToMigrate() {
         return rollout.recordsToMigrate();
     }
--- a/src/main/java/org/woadloom/core/Scheduler.java
+++ b/src/main/java/org/woadloom/core/Scheduler.java
@@ -51,6 +51,11 @@
         return countInTerm(LeaderTerm::reservationCount);
     }
 
+    /** Machines that the searches for placements have examined in this term; 0 without one. */
+    public long candidatesExamined() {
+        return leaderTerm == null ? 0 : leaderTerm.candidatesExamined();
+    }
+
     /** Records that a rollout still has to rewrite. */
     public int recordsToMigrate() {
         return countInTerm(LeaderTerm::recordsToMigrate);
--- a/src/main/java/org/woadloom/core/placement/TaskPlacer.java
+++ b/src/main/java/org/woadloom/core/placement/TaskPlacer.java
@@ -21,6 +21,9 @@
     private final Reservations reservations;
     private final QueueOrder order;
 
+    /** How many machines were examined for jobs in this term: what a search costs. */
+    private long candidatesExamined;
+
     public TaskPlacer(
             SchedulerState state, PlacementConstraints constraints, Reservations reservations) {
         this.state = state;
@@ -40,6 +43,11 @@
         return order.sorted(jobs);
     }
 
+    /** How many machines the searches of this term have examined, counted anew for each job. */
+    public long candidatesExamined() {
+        return candidatesExamined;
+    }
+
     /** Places the pending tasks that fit, each job in its turn. */
     public void place() {
         long attempt = state.newAttempt();
@@ -95,6 +103,7 @@
                                 job, size.maxMoreTasks(job.nextPending(0), job.pendingTasks())))) {
             return false;
         }
+        candidatesExamined += openMachines.size();
         CandidateMachines candidates =
                 new CandidateMachines(
                         job, openMachines, state.scarceZones(), constraints, reservations);
@@ -164,6 +173,7 @@
     }
 
     private Map<String, Integer> gangFitsByZone(Job job) {
+        candidatesExamined += state.machines().size();
         Map<String, Integer> fitsByZone = new LinkedHashMap<>();
         for (Machine machine : state.machines().values()) {
             if (constraints.acceptsTasks(machine)
--- /dev/null
+++ b/src/test/java/org/woadloom/core/BoundedStepTest.java
@@ -0,0 +1,84 @@
+package org.woadloom.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.woadloom.store.JobRecord;
+
+/** What one step does is bounded, however many machines come up at once. */
+class BoundedStepTest {
+    private static final int MACHINES = 4_000;
+
+    /** A tenth of the 4 s that the lease of the leader key lasts: three renewals may be late. */
+    private static final double STEP_SECONDS = 0.4;
+
+    /** Of one processor, as a node has it. */
+    private static final double PROCESSOR_SHARE = 0.4;
+
+    private static final double SECONDS_PER_CANDIDATE = 0.5e-6;
+
+    private static final long MAX_CANDIDATES =
+            (long) (STEP_SECONDS * PROCESSOR_SHARE / SECONDS_PER_CANDIDATE);
+
+    private static final int STEPS = 200;
+    private static final long STEP_INTERVAL_MICROS = 10_000;
+
+    private static String[] hosts() {
+        String[] hosts = new String[MACHINES];
+        for (int i = 0; i < MACHINES; i++) {
+            hosts[i] = String.format("host-%06d", i);
+        }
+        return hosts;
+    }
+
+    private static LeaderFixture afterAFullStop(int jobs) {
+        List<JobRecord> records = new ArrayList<>();
+        for (int i = 0; i < jobs; i++) {
+            records.add(
+                    JobRecord.accepted(LeaderFixture.job(String.format("j-%06d", i), 2), i * 10L));
+        }
+        LeaderFixture leader = new LeaderFixture(16.0 * MACHINES, records, hosts());
+        leader.allAreUp(hosts());
+        for (int i = 0; i < STEPS; i++) {
+            leader.now += STEP_INTERVAL_MICROS;
+            leader.step(new SchedulerEvent.Tick());
+        }
+        return leader;
+    }
+
+    /** Guards against leaders that replaced each other at 4,000 machines after a full stop. */
+    @ParameterizedTest
+    @ValueSource(ints = {4_000, 12_000})
+    void noStepSearchesForLongerThanTheLeadersLeaseAllows(int jobs) {
+        LeaderFixture leader = afterAFullStop(jobs);
+        assertTrue(
+                leader.mostCandidatesInAStep() <= MAX_CANDIDATES,
+                leader.mostCandidatesInAStep() + " candidates in a step");
+    }
+
+    @Test
+    void aSearchThatIsCutShortPlacesAllThatFits() {
+        LeaderFixture leader = afterAFullStop(4_000);
+        assertEquals(4_000, placedJobs(leader).size());
+    }
+
+    @Test
+    void aSearchThatIsCutShortServesTheOldestFirst() {
+        LeaderFixture leader = afterAFullStop(4_000);
+        List<String> placed = placedJobs(leader);
+        assertEquals(placed.stream().sorted().toList(), placed);
+    }
+
+    private static List<String> placedJobs(LeaderFixture leader) {
+        return leader.all(SchedulerAction.Log.class).stream()
+                .filter(log -> log.entry().event() == LogEvent.TASKS_PLACED)
+                .map(log -> log.entry().toString().replaceAll(".*job=(\\S+).*", "$1"))
+                .distinct()
+                .toList();
+    }
+}
--- a/src/test/java/org/woadloom/core/LeaderFixture.java
+++ b/src/test/java/org/woadloom/core/LeaderFixture.java
@@ -30,6 +30,7 @@
     public final List<SchedulerAction> actions = new ArrayList<>();
     private long stamps = 100;
     private long replies;
+    private long mostCandidatesInAStep;
 
     /** Leads with these machines recorded. */
     public LeaderFixture(String... hosts) {
@@ -72,7 +73,10 @@
     public void step(SchedulerEvent... commands) {
         List<SchedulerEvent> next = List.of(commands);
         while (next != null) {
+            long examined = core.candidatesExamined();
             List<SchedulerAction> done = core.step(now, now, next);
+            mostCandidatesInAStep =
+                    Math.max(mostCandidatesInAStep, core.candidatesExamined() - examined);
             actions.addAll(done);
             List<SchedulerEvent> written = new ArrayList<>();
             for (SchedulerAction action : done) {
@@ -201,6 +205,33 @@
         }
     }
 
+    /** All agents report at once, in one batch, and then answer their tokens in another. */
+    public void allAreUp(String... hosts) {
+        int before = actions.size();
+        List<SchedulerEvent> events = new ArrayList<>();
+        for (String host : hosts) {
+            events.add(new SchedulerEvent.HeartbeatReceived(++replies, message(host, 1, 1, 0)));
+        }
+        step(events.toArray(new SchedulerEvent[0]));
+        events.clear();
+        for (SchedulerAction action : List.copyOf(actions.subList(before, actions.size()))) {
+            if (action instanceof SchedulerAction.SendDirectCommand sent) {
+                events.add(
+                        new SchedulerEvent.DirectCommandCompleted(
+                                sent.commandId(),
+                                sent.host(),
+                                200,
+                                message(sent.host(), 1, 2, sent.fencingToken())));
+            }
+        }
+        step(events.toArray(new SchedulerEvent[0]));
+    }
+
+    /** The most machines that one step so far has examined for placements. */
+    public long mostCandidatesInAStep() {
+        return mostCandidatesInAStep;
+    }
+
     /** Nobody answers any of them. */
     public void unanswered() {
         for (SchedulerAction.SendDirectCommand sent :
