The search for placements is spread over steps, in the same order of jobs

A step now examines 300,000 machines at most, counted anew for each job, and the next step goes on with the job that the search stopped at. What has been tried is not tried again in the same search; jobs that were passed over for their team's limit are looked at again, as that costs nothing. Gangs, preemption, renting and returning wait until every job had its turn, as before that nobody knows what is missing. Leadership is renewed by the same loop as ever: a step that can't serve still loses it.

--- a/src/main/java/org/woadloom/core/LeaderTerm.java
+++ b/src/main/java/org/woadloom/core/LeaderTerm.java
@@ -1,5 +1,6 @@
 package org.woadloom.core;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.woadloom.core.autoscaling.Autoscaler;
 import org.woadloom.core.jobs.Job;
@@ -72,6 +73,12 @@
     private long nextPlacementMicros;
     private long placementNotBeforeMicros;
 
+    /** Whether every waiting job had its turn in the present search for placements. */
+    private boolean isSearchComplete = true;
+
+    /** Those that failed since gangs were planned last. */
+    private final List<Reservation> failedReservations = new ArrayList<>();
+
     LeaderTerm(SchedulerState state) {
         this.state = state;
         TaskLossHandler taskLosses = new TaskLossHandler(state);
@@ -170,7 +177,7 @@
             schedulePlacement();
             placeTasks();
         }
-        autoscaler.review();
+        autoscaler.review(isSearchComplete);
         state.serviceLevels().review();
         rollout.review();
         emitActions();
@@ -183,8 +190,9 @@
     }
 
     private boolean isPlacementDue() {
-        return (state.isPlacementNeeded() || state.nowMicros() >= nextPlacementMicros)
-                && state.nowMicros() >= placementNotBeforeMicros;
+        return !isSearchComplete
+                || ((state.isPlacementNeeded() || state.nowMicros() >= nextPlacementMicros)
+                        && state.nowMicros() >= placementNotBeforeMicros);
     }
 
     /** Notes that placement runs now, and when it may and when it has to run next. */
@@ -202,11 +210,14 @@
         guaranteedQuota.update();
         classFairShare.update();
         quotaRotation.update();
-        List<Reservation> failedReservations = reservations.updatePhases();
-        placer.place();
-        List<Job> queue = placer.queue();
-        gangPlanner.update(failedReservations, queue);
-        preemption.preemptFor(queue);
+        failedReservations.addAll(reservations.updatePhases());
+        isSearchComplete = placer.place();
+        if (isSearchComplete) {
+            List<Job> queue = placer.queue();
+            gangPlanner.update(failedReservations, queue);
+            failedReservations.clear();
+            preemption.preemptFor(queue);
+        }
     }
 
     private void emitActions() {
--- a/src/main/java/org/woadloom/core/autoscaling/Autoscaler.java
+++ b/src/main/java/org/woadloom/core/autoscaling/Autoscaler.java
@@ -44,9 +44,17 @@
         scaleIn = new ScaleInPlanner(state, constraints, placer, reservations, losses);
     }
 
-    /** To be called in every scheduling pass; the fleet is reviewed at intervals. */
-    public void review() {
+    /**
+     * To be called in every scheduling pass; the fleet is reviewed at intervals.
+     *
+     * @param isSearchComplete whether every waiting job was tried on the machines that there are;
+     *     as long as not, nobody knows what is missing and what is idle
+     */
+    public void review(boolean isSearchComplete) {
         requests.sendDue();
+        if (!isSearchComplete) {
+            return;
+        }
         if (state.nowMicros() - lastReviewMicros < REVIEW_INTERVAL_MICROS
                 || state.machineTypes().isEmpty()) {
             return;
--- a/src/main/java/org/woadloom/core/placement/TaskPlacer.java
+++ b/src/main/java/org/woadloom/core/placement/TaskPlacer.java
@@ -1,9 +1,11 @@
 package org.woadloom.core.placement;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.woadloom.core.LogEntry;
 import org.woadloom.core.LogEvent;
 import org.woadloom.core.SchedulerState;
@@ -14,13 +16,31 @@
 import org.woadloom.core.reservation.Reservation;
 import org.woadloom.core.reservation.Reservations;
 
-/** Decides which task runs on which machine, in the order of {@link QueueOrder}. */
+/**
+ * Decides which task runs on which machine, in the order of {@link QueueOrder}.
+ *
+ * <p>A search for all waiting jobs of a large fleet is spread over several steps, as the leader has
+ * to renew its lease and answer heartbeats in between: it stops before the job that would be too
+ * much for one step, and goes on there.
+ */
 public final class TaskPlacer {
+    /**
+     * How many machines one step examines at most, each counted anew for each job. It takes a small
+     * part of the leader key's lease, also on a slow processor.
+     */
+    private static final int MAX_CANDIDATES_PER_STEP = 300_000;
+
     private final SchedulerState state;
     private final PlacementConstraints constraints;
     private final Reservations reservations;
     private final QueueOrder order;
 
+    /** The jobs that the present search has tried to place. */
+    private final Set<Job> searched = new HashSet<>();
+
+    /** What found no machine in the present search. */
+    private final List<ResourceRequest> unsatisfied = new ArrayList<>();
+
     /** How many machines were examined for jobs in this term: what a search costs. */
     private long candidatesExamined;
 
@@ -48,32 +68,49 @@
         return candidatesExamined;
     }
 
-    /** Places the pending tasks that fit, each job in its turn. */
-    public void place() {
+    /**
+     * Places the pending tasks that fit, each job in its turn, as far as one step may search.
+     *
+     * @return whether every job had its turn; if not, the next call goes on
+     */
+    public boolean place() {
         long attempt = state.newAttempt();
+        long maxExamined = candidatesExamined + MAX_CANDIDATES_PER_STEP;
         List<Machine> openMachines = null;
-        List<ResourceRequest> unsatisfied = new ArrayList<>();
         for (Job job : queue()) {
             boolean hasReservation = reservations.countFor(job) > 0;
-            if (!hasReservation && isPassedOver(job, unsatisfied)) {
+            if (searched.contains(job) || (!hasReservation && isPassedOver(job))) {
                 continue;
             }
             if (openMachines == null) {
                 openMachines = openMachines();
             }
+            if (candidatesExamined + searchCost(job, openMachines) > maxExamined
+                    && candidatesExamined > maxExamined - MAX_CANDIDATES_PER_STEP) {
+                return false;
+            }
+            searched.add(job);
             if (placeJob(job, attempt, openMachines)
                     && !hasReservation
                     && ResourceRequest.isRepresentative(job)) {
                 unsatisfied.add(ResourceRequest.of(job));
             }
         }
+        searched.clear();
+        unsatisfied.clear();
+        return true;
+    }
+
+    /** How many machines a search for the job examines at most. */
+    private int searchCost(Job job, List<Machine> openMachines) {
+        return openMachines.size() + (job.description.isGang() ? state.machines().size() : 0);
     }
 
     /**
      * True if a job without a reservation to draw from need not be tried: it backs off, its team's
      * limit is reached, or one that asked for no more found no machine.
      */
-    private boolean isPassedOver(Job job, List<ResourceRequest> unsatisfied) {
+    private boolean isPassedOver(Job job) {
         if (!job.description.isService() && job.isBackingOff(state.nowMicros())) {
             return true;
         }
