Gangs are planned only where a zone is open and the team's limit suffices

Giving back asked for another placement, so the next step did all of it again though nothing had changed.

The open zones are computed once in a pass, planning ends when none is left, and a job whose limit does not allow all of its tasks is passed over before any machine is looked at.

--- a/src/main/java/org/woadloom/core/LeaderTerm.java
+++ b/src/main/java/org/woadloom/core/LeaderTerm.java
@@ -147,7 +147,7 @@
     }
 
     long candidatesExamined() {
-        return placer.candidatesExamined();
+        return placer.candidatesExamined() + gangPlanner.machinesExamined();
     }
 
     int recordsToMigrate() {
--- a/src/main/java/org/woadloom/core/reservation/GangReservationPlanner.java
+++ b/src/main/java/org/woadloom/core/reservation/GangReservationPlanner.java
@@ -34,6 +34,9 @@
 
     private final Map<Job, Long> renewedMicros = new LinkedHashMap<>();
 
+    /** How many machines were examined in this term: what planning costs. */
+    private long machinesExamined;
+
     public GangReservationPlanner(
             SchedulerState state, PlacementConstraints constraints, Reservations reservations) {
         this.state = state;
@@ -41,6 +44,11 @@
         this.reservations = reservations;
     }
 
+    /** How many machines the planning of this term has examined, counted anew for each job. */
+    public long machinesExamined() {
+        return machinesExamined;
+    }
+
     /**
      * True for jobs that reserve: gangs, and tasks that take a large part of the machines they may
      * use.
@@ -78,9 +86,7 @@
     public void update(List<Reservation> failed, List<Job> queue) {
         requeueFailed(failed);
         endFinished();
-        for (Job job : waitingByAge(queue)) {
-            tryReserve(job);
-        }
+        reserveFor(waitingByAge(queue));
         for (Job job : new LinkedHashSet<>(holderByZone.values())) {
             renewIfDue(job);
         }
@@ -132,9 +138,37 @@
         }
     }
 
-    private void tryReserve(Job job) {
+    /** Reserves for the jobs in this order as long as there is a zone in which nobody does. */
+    private void reserveFor(List<Job> waiting) {
+        Set<String> openZones = openZones();
+        for (Job job : waiting) {
+            if (openZones.isEmpty()) {
+                return;
+            }
+            if (tryReserve(job, openZones)) {
+                openZones.removeAll(holderByZone.keySet());
+            }
+        }
+    }
+
+    /** The zones with machines in which no job reserves. */
+    private Set<String> openZones() {
+        Set<String> open = new LinkedHashSet<>();
+        machinesExamined += state.machines().size();
+        for (Machine machine : state.machines().values()) {
+            if (!holderByZone.containsKey(machine.zone)) {
+                open.add(machine.zone);
+            }
+        }
+        return open;
+    }
+
+    private boolean tryReserve(Job job, Set<String> openZones) {
         int wanted = job.description.isGang() ? job.pendingTasks() : 1;
-        for (Set<String> zones : zoneChoices(job)) {
+        if (job.allowedTasks() < wanted) {
+            return false;
+        }
+        for (Set<String> zones : zoneChoices(job, openZones)) {
             List<Machine> chosen = chooseMachines(job, wanted, zones);
             if (chosen == null) {
                 continue;
@@ -146,9 +180,10 @@
                         LogEntry.info(LogEvent.RESERVATIONS_MADE)
                                 .with("job", job.jobId())
                                 .with("tasks", wanted));
-                return;
+                return true;
             }
         }
+        return false;
     }
 
     /** Reserves for one task on each of the machines, or, if that fails for one, on none. */
@@ -170,13 +205,7 @@
      * The sets of zones in which the job may reserve: one zone each where all must be together,
      * else all free ones.
      */
-    private List<Set<String>> zoneChoices(Job job) {
-        Set<String> open = new LinkedHashSet<>();
-        for (Machine machine : state.machines().values()) {
-            if (!holderByZone.containsKey(machine.zone)) {
-                open.add(machine.zone);
-            }
-        }
+    private static List<Set<String>> zoneChoices(Job job, Set<String> open) {
         List<Set<String>> choices = new ArrayList<>();
         for (String zone : open) {
             choices.add(Set.of(zone));
@@ -212,6 +241,7 @@
 
     private List<Machine> machinesByFreeCpu(Job job, Set<String> zones) {
         List<Machine> candidates = new ArrayList<>();
+        machinesExamined += state.machines().size();
         for (Machine machine : state.machines().values()) {
             if (zones.contains(machine.zone)
                     && constraints.acceptsTasks(machine)
