Planning of gangs looks at machines that accept tasks, and stops within a step

Right after a takeover no machine accepts tasks yet, so no job can reserve, no zone is ever taken, and each pass walked over all machines for every waiting job: just the time in which leaders were lost.

Machines that accept tasks are listed once in a pass; a step examines 100,000 at most and the next goes on with the jobs that were not tried, in the same order.

--- a/src/main/java/org/woadloom/core/placement/TaskPlacer.java
+++ b/src/main/java/org/woadloom/core/placement/TaskPlacer.java
@@ -28,7 +28,7 @@
      * How many machines one step examines at most, each counted anew for each job. It takes a small
      * part of the leader key's lease, also on a slow processor.
      */
-    private static final int MAX_CANDIDATES_PER_STEP = 300_000;
+    private static final int MAX_CANDIDATES_PER_STEP = 200_000;
 
     private final SchedulerState state;
     private final PlacementConstraints constraints;
--- a/src/main/java/org/woadloom/core/reservation/GangReservationPlanner.java
+++ b/src/main/java/org/woadloom/core/reservation/GangReservationPlanner.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -22,6 +23,9 @@
  * it does. If one of them fails, all are released and the job queues again.
  */
 public final class GangReservationPlanner {
+    /** How many machines one step examines at most, each counted anew for each job. */
+    private static final int MAX_MACHINES_PER_STEP = 100_000;
+
     private final SchedulerState state;
     private final PlacementConstraints constraints;
     private final Reservations reservations;
@@ -34,6 +38,9 @@
 
     private final Map<Job, Long> renewedMicros = new LinkedHashMap<>();
 
+    /** The jobs that the present planning has tried to reserve for. */
+    private final Set<Job> tried = new HashSet<>();
+
     /** How many machines were examined in this term: what planning costs. */
     private long machinesExamined;
 
@@ -138,17 +145,43 @@
         }
     }
 
-    /** Reserves for the jobs in this order as long as there is a zone in which nobody does. */
+    /**
+     * Reserves for the jobs in this order as long as there is a zone in which nobody does, and as
+     * far as one step may search; the next one goes on with the jobs that were not tried.
+     */
     private void reserveFor(List<Job> waiting) {
         Set<String> openZones = openZones();
+        List<Machine> accepting = acceptingMachines();
+        long maxExamined = machinesExamined + MAX_MACHINES_PER_STEP;
+        boolean isFirst = true;
         for (Job job : waiting) {
             if (openZones.isEmpty()) {
+                break;
+            }
+            if (tried.contains(job)) {
+                continue;
+            }
+            long cost = (long) accepting.size() * (openZones.size() + 1);
+            if (!isFirst && machinesExamined + cost > maxExamined) {
                 return;
             }
-            if (tryReserve(job, openZones)) {
+            isFirst = false;
+            tried.add(job);
+            if (tryReserve(job, openZones, accepting)) {
                 openZones.removeAll(holderByZone.keySet());
             }
         }
+        tried.clear();
+    }
+
+    private List<Machine> acceptingMachines() {
+        List<Machine> accepting = new ArrayList<>();
+        for (Machine machine : state.machines().values()) {
+            if (constraints.acceptsTasks(machine)) {
+                accepting.add(machine);
+            }
+        }
+        return accepting;
     }
 
     /** The zones with machines in which no job reserves. */
@@ -163,13 +196,13 @@
         return open;
     }
 
-    private boolean tryReserve(Job job, Set<String> openZones) {
+    private boolean tryReserve(Job job, Set<String> openZones, List<Machine> accepting) {
         int wanted = job.description.isGang() ? job.pendingTasks() : 1;
         if (job.allowedTasks() < wanted) {
             return false;
         }
         for (Set<String> zones : zoneChoices(job, openZones)) {
-            List<Machine> chosen = chooseMachines(job, wanted, zones);
+            List<Machine> chosen = chooseMachines(job, wanted, zones, accepting);
             if (chosen == null) {
                 continue;
             }
@@ -220,8 +253,9 @@
      * A machine for each of the wanted number of tasks, those first on which the most is free; null
      * if there are too few.
      */
-    private List<Machine> chooseMachines(Job job, int wanted, Set<String> zones) {
-        List<Machine> candidates = machinesByFreeCpu(job, zones);
+    private List<Machine> chooseMachines(
+            Job job, int wanted, Set<String> zones, List<Machine> accepting) {
+        List<Machine> candidates = machinesByFreeCpu(job, zones, accepting);
         int maxPerZone = PlacementConstraints.maxTasksPerZone(job.description);
         Map<String, Integer> chosenByZone = new LinkedHashMap<>();
         List<Machine> chosen = new ArrayList<>();
@@ -239,12 +273,11 @@
         return chosen.size() == wanted ? chosen : null;
     }
 
-    private List<Machine> machinesByFreeCpu(Job job, Set<String> zones) {
+    private List<Machine> machinesByFreeCpu(Job job, Set<String> zones, List<Machine> accepting) {
         List<Machine> candidates = new ArrayList<>();
-        machinesExamined += state.machines().size();
-        for (Machine machine : state.machines().values()) {
+        machinesExamined += accepting.size();
+        for (Machine machine : accepting) {
             if (zones.contains(machine.zone)
-                    && constraints.acceptsTasks(machine)
                     && constraints.allows(job, machine)
                     && machine.capacity().contains(job.taskResources)
                     && !job.failedOn.contains(machine.host)) {
