The leader logs why the jobs that wait longest wait

tasks_pending, every 30 s for ten jobs at most: the typed reason why the next task is not placed now, for how long, what the team uses and which job of it got what came free last. It tells apart what had to be found with a tracer for the two known failures at a team's limit.

--- a/src/main/java/org/woadloom/core/LeaderTerm.java
+++ b/src/main/java/org/woadloom/core/LeaderTerm.java
@@ -16,6 +16,7 @@
 import org.woadloom.core.placement.PlacementConstraints;
 import org.woadloom.core.placement.PreemptionPlanner;
 import org.woadloom.core.placement.TaskPlacer;
+import org.woadloom.core.placement.WaitingJobsReport;
 import org.woadloom.core.quota.ClassFairShare;
 import org.woadloom.core.quota.GuaranteedQuota;
 import org.woadloom.core.quota.QuotaRotation;
@@ -66,6 +67,7 @@
     private final QuotaRotation quotaRotation;
     private final TaskPlacer placer;
     private final PreemptionPlanner preemption;
+    private final WaitingJobsReport waitingJobs;
     private final Autoscaler autoscaler;
     private final FeatureRollout rollout;
     private long nextMachineReviewMicros;
@@ -98,6 +100,7 @@
         quotaRotation = new QuotaRotation(state, reservations);
         placer = new TaskPlacer(state, constraints, reservations);
         preemption = new PreemptionPlanner(state, constraints, reservations, gangPlanner);
+        waitingJobs = new WaitingJobsReport(state, constraints, reservations);
         autoscaler = new Autoscaler(state, constraints, placer, machines, reservations);
         rollout = new FeatureRollout(state);
     }
@@ -217,6 +220,7 @@
             gangPlanner.update(failedReservations, queue);
             failedReservations.clear();
             preemption.preemptFor(queue);
+            waitingJobs.review();
         }
     }
 
--- a/src/main/java/org/woadloom/core/LogEvent.java
+++ b/src/main/java/org/woadloom/core/LogEvent.java
@@ -38,6 +38,8 @@
     JOB_TEAM_UNKNOWN,
     /** Tasks of a job were given machines. */
     TASKS_PLACED,
+    /** At intervals, why one of the jobs that have waited longest has tasks that are not placed. */
+    TASKS_PENDING,
     /** A task attempt is proven to be gone without having completed. */
     TASK_LOST,
     /** A task attempt ended on its machine. */
--- a/src/main/java/org/woadloom/core/jobs/Job.java
+++ b/src/main/java/org/woadloom/core/jobs/Job.java
@@ -366,6 +366,11 @@
         return lastPlacedMicros;
     }
 
+    /** Since when the job waits: from its start on since a task of it was last placed. */
+    public long waitingSinceMicros() {
+        return hasStarted() ? Math.max(queuedSinceMicros, lastPlacedMicros) : queuedSinceMicros;
+    }
+
     /** No task of the job is placed before this time. */
     public long placeNotBeforeMicros() {
         return placeNotBeforeMicros;
--- a/src/main/java/org/woadloom/core/quota/QuotaRotation.java
+++ b/src/main/java/org/woadloom/core/quota/QuotaRotation.java
@@ -155,7 +155,7 @@
                 && !isPaused(job.team)
                 && isWaiting(job)
                 && !waitingForNextTurn.containsKey(job)
-                && state.nowMicros() - waitingSinceMicros(job) > PATIENCE_MICROS
+                && state.nowMicros() - job.waitingSinceMicros() > PATIENCE_MICROS
                 && job.allowedTasks() < tasksNeeded(job)
                 && !reservations.hasOthersInTeam(job);
     }
@@ -167,13 +167,7 @@
         if (one.hasStarted() != other.hasStarted()) {
             return one.hasStarted() ? other : one;
         }
-        return waitingSinceMicros(other) < waitingSinceMicros(one) ? other : one;
-    }
-
-    private static long waitingSinceMicros(Job job) {
-        return job.hasStarted()
-                ? Math.max(job.queuedSinceMicros(), job.lastPlacedMicros())
-                : job.queuedSinceMicros();
+        return other.waitingSinceMicros() < one.waitingSinceMicros() ? other : one;
     }
 
     private void applyTurn(TeamQuota team) {
@@ -204,7 +198,7 @@
                 LogEntry.info(event)
                         .with("job", job.jobId())
                         .with("team", team.team.name())
-                        .withSeconds("waited_s", state.nowMicros() - waitingSinceMicros(job))
+                        .withSeconds("waited_s", state.nowMicros() - job.waitingSinceMicros())
                         .with("needed_tasks", tasksNeeded(job))
                         .with("allowed_tasks", job.allowedTasks())
                         .with("replica_cpus", replicas.cpu() / Resources.UNITS));
--- a/src/main/java/org/woadloom/core/quota/TeamQuota.java
+++ b/src/main/java/org/woadloom/core/quota/TeamQuota.java
@@ -1,8 +1,10 @@
 package org.woadloom.core.quota;
 
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.ToIntFunction;
 import org.woadloom.core.jobs.Job;
+import org.woadloom.core.placement.PendingReason;
 import org.woadloom.core.placement.Resources;
 import org.woadloom.settings.Team;
 
@@ -31,6 +33,9 @@
 
     private Resources keptForTurn = Resources.NONE;
 
+    /** Empty until a task of the team is placed in this term. */
+    private String lastPlacedJobId = "";
+
     private final LostTaskHolds lostTasks = new LostTaskHolds();
 
     public TeamQuota(Team team) {
@@ -53,6 +58,12 @@
     public void onTaskPlaced(Job job) {
         used = used.plus(job.taskResources);
         lostTasks.onPlaced(job);
+        lastPlacedJobId = job.jobId();
+    }
+
+    /** The job whose task was placed last, empty for none in this term. */
+    public String lastPlacedJobId() {
+        return lastPlacedJobId;
     }
 
     /** A task of the job was lost: what it used is held until the job's next task is placed. */
@@ -100,6 +111,26 @@
         return Math.max(lost, notKeptForOthers(free, job).withoutNegatives().count(task));
     }
 
+    /** Why the limit allows the job no task now; empty if it allows one. */
+    public Optional<PendingReason> whyNotAllowed(Job job) {
+        Resources task = job.taskResources;
+        if (allowedTasks(task, job) > 0) {
+            return Optional.empty();
+        }
+        Resources free = limit.minus(used);
+        if (!free.contains(task)) {
+            return Optional.of(PendingReason.TEAM_LIMIT);
+        }
+        free = free.minus(lostTasks.heldForOthers(job));
+        if (!free.contains(task)) {
+            return Optional.of(PendingReason.HELD_FOR_LOST_TASKS);
+        }
+        return Optional.of(
+                free.minus(keptForTurn).contains(task)
+                        ? PendingReason.KEPT_FOR_CLASSES
+                        : PendingReason.KEPT_FOR_TURN);
+    }
+
     /** What of the free limit is kept neither for a turn nor for other classes than the job's. */
     private Resources notKeptForOthers(Resources free, Job job) {
         Resources left = free.minus(keptForTurn);
