Trial taken back: a step takes all events that have gathered again

Answers to commands wait longer in the queue, as every step has the cost of a whole pass, and agents count as unreachable after 10 s.

--- a/src/main/java/org/woadloom/node/EventQueue.java
+++ b/src/main/java/org/woadloom/node/EventQueue.java
@@ -22,12 +22,6 @@
     private static final long MIN_PAUSE_MICROS = 8_000;
     private static final long MAX_PAUSE_MICROS = 200_000;
 
-    /**
-     * Thousands of agents may report at once; in between the leader's lease is renewed, and what
-     * has expired is dropped.
-     */
-    static final int MAX_EVENTS_PER_BATCH = 1_000;
-
     /** The pause after a batch, as a multiple of the time that the batch took. */
     private static final int PAUSE_FACTOR = 2;
 
@@ -139,11 +133,7 @@
 
     private List<SchedulerEvent> takeBatch() {
         List<SchedulerEvent> batch = new ArrayList<>();
-        while (batch.size() < MAX_EVENTS_PER_BATCH) {
-            SchedulerEvent event = queue.poll();
-            if (event == null) {
-                break;
-            }
+        for (SchedulerEvent event = queue.poll(); event != null; event = queue.poll()) {
             if (event instanceof SchedulerEvent.HeartbeatReceived) {
                 queuedHeartbeats.decrementAndGet();
             }
