Gangs' reservations are renewed while a search for placements goes on

Found by reading the spread search again: gangs were planned at its end only, and with that renewed. Renewals are due every 20 s and reservations expire after 60 s, so a search of a large fleet that took 40 s would have let go what gangs had accumulated. What fails, ends and is renewed is looked after in every pass now; only new reservations wait. The list that carried failures from pass to pass is gone.

--- a/src/main/java/org/woadloom/core/LeaderTerm.java
+++ b/src/main/java/org/woadloom/core/LeaderTerm.java
@@ -1,6 +1,5 @@
 package org.woadloom.core;
 
-import java.util.ArrayList;
 import java.util.List;
 import org.woadloom.core.autoscaling.Autoscaler;
 import org.woadloom.core.jobs.Job;
@@ -78,9 +77,6 @@
     /** Whether every waiting job had its turn in the present search for placements. */
     private boolean isSearchComplete = true;
 
-    /** Those that failed since gangs were planned last. */
-    private final List<Reservation> failedReservations = new ArrayList<>();
-
     LeaderTerm(SchedulerState state) {
         this.state = state;
         TaskLossHandler taskLosses = new TaskLossHandler(state);
@@ -213,12 +209,12 @@
         guaranteedQuota.update();
         classFairShare.update();
         quotaRotation.update();
-        failedReservations.addAll(reservations.updatePhases());
+        List<Reservation> failedReservations = reservations.updatePhases();
         isSearchComplete = placer.place();
+        gangPlanner.maintain(failedReservations);
         if (isSearchComplete) {
             List<Job> queue = placer.queue();
-            gangPlanner.update(failedReservations, queue);
-            failedReservations.clear();
+            gangPlanner.reserve(queue);
             preemption.preemptFor(queue);
             waitingJobs.review();
         }
--- a/src/main/java/org/woadloom/core/reservation/GangReservationPlanner.java
+++ b/src/main/java/org/woadloom/core/reservation/GangReservationPlanner.java
@@ -84,22 +84,30 @@
     }
 
     /**
-     * Lets jobs queue again whose reservations failed, ends what is over, and reserves for the
-     * next.
+     * Lets jobs queue again whose reservations failed, ends what is over, and renews the others; to
+     * be called in every pass, as reservations expire whether a search is over or not.
      *
      * @param failed the reservations that failed since the last call
-     * @param queue the jobs with pending tasks
      */
-    public void update(List<Reservation> failed, List<Job> queue) {
+    public void maintain(List<Reservation> failed) {
         requeueFailed(failed);
         endFinished();
-        reserveFor(waitingByAge(queue));
         for (Job job : new LinkedHashSet<>(holderByZone.values())) {
             renewIfDue(job);
         }
         requeuedMicros.keySet().removeIf(job -> !state.jobs().containsKey(job.jobId()));
     }
 
+    /**
+     * Reserves for the next jobs, those first that have waited longest; to be called once a search
+     * for placements is over.
+     *
+     * @param queue the jobs with pending tasks
+     */
+    public void reserve(List<Job> queue) {
+        reserveFor(waitingByAge(queue));
+    }
+
     private void requeueFailed(List<Reservation> failed) {
         for (Reservation reservation : failed) {
             if (holderByZone.containsValue(reservation.owner)) {
