Lost machines are decommissioned while a search for placements goes on

Found by reading the spread search again: the whole review of the fleet waited for its end, and so did hung machines, whose deletion is the proof that lets their tasks start elsewhere. Only renting, and returning idle machines, need to know what the search leaves. AutoscalerDuringSearchTest fails without it (tried: no machine decommissioned in 300 s).

--- a/src/main/java/org/woadloom/core/autoscaling/Autoscaler.java
+++ b/src/main/java/org/woadloom/core/autoscaling/Autoscaler.java
@@ -25,6 +25,8 @@
     /** Half the range, so that the first review is due without an overflow. */
     private long lastReviewMicros = Long.MIN_VALUE / 2;
 
+    private long lastLossReviewMicros = Long.MIN_VALUE / 2;
+
     public Autoscaler(
             SchedulerState state,
             PlacementConstraints constraints,
@@ -48,15 +50,32 @@
      * To be called in every scheduling pass; the fleet is reviewed at intervals.
      *
      * @param isSearchComplete whether every waiting job was tried on the machines that there are;
-     *     as long as not, nobody knows what is missing and what is idle
+     *     as long as not, nobody knows what is missing and what is idle, and only lost machines are
+     *     decommissioned
      */
     public void review(boolean isSearchComplete) {
         requests.sendDue();
-        if (!isSearchComplete) {
+        if (state.machineTypes().isEmpty()) {
             return;
         }
-        if (state.nowMicros() - lastReviewMicros < REVIEW_INTERVAL_MICROS
-                || state.machineTypes().isEmpty()) {
+        if (isSearchComplete) {
+            reviewFleet();
+        } else {
+            reviewLostMachines();
+        }
+    }
+
+    private void reviewLostMachines() {
+        if (state.nowMicros() - lastLossReviewMicros < REVIEW_INTERVAL_MICROS) {
+            return;
+        }
+        lastLossReviewMicros = state.nowMicros();
+        partitionedZones.review();
+        scaleIn.removeLost();
+    }
+
+    private void reviewFleet() {
+        if (state.nowMicros() - lastReviewMicros < REVIEW_INTERVAL_MICROS) {
             return;
         }
         lastReviewMicros = state.nowMicros();
--- a/src/main/java/org/woadloom/core/autoscaling/ScaleInPlanner.java
+++ b/src/main/java/org/woadloom/core/autoscaling/ScaleInPlanner.java
@@ -68,7 +68,7 @@
     }
 
     /** Decommissions lost machines and returns the idle ones. */
-    private List<Machine> removeLost() {
+    List<Machine> removeLost() {
         List<Machine> idle = new ArrayList<>();
         for (Machine machine : state.machines().values()) {
             if (machine.isDecommissioning()
