One class for searches that are spread over steps

TaskPlacer and GangReservationPlanner each had the same bound, count and set of jobs, under three names (candidates, machines, tried). SteppedSearch has them once, with a test of its own, and what is counted is called machines examined throughout.

--- a/src/main/java/org/woadloom/core/LeaderTerm.java
+++ b/src/main/java/org/woadloom/core/LeaderTerm.java
@@ -145,8 +145,8 @@
         return reservations.size();
     }
 
-    long candidatesExamined() {
-        return placer.candidatesExamined() + gangPlanner.machinesExamined();
+    long machinesExamined() {
+        return placer.machinesExamined() + gangPlanner.machinesExamined();
     }
 
     int recordsToMigrate() {
--- a/src/main/java/org/woadloom/core/Scheduler.java
+++ b/src/main/java/org/woadloom/core/Scheduler.java
@@ -51,9 +51,9 @@
         return countInTerm(LeaderTerm::reservationCount);
     }
 
-    /** Machines that the searches for placements have examined in this term; 0 without one. */
-    public long candidatesExamined() {
-        return leaderTerm == null ? 0 : leaderTerm.candidatesExamined();
+    /** Machines that searches have examined in this term, counted anew for each job. */
+    public long machinesExamined() {
+        return leaderTerm == null ? 0 : leaderTerm.machinesExamined();
     }
 
     /** Records that a rollout still has to rewrite. */
--- a/src/main/java/org/woadloom/core/placement/TaskPlacer.java
+++ b/src/main/java/org/woadloom/core/placement/TaskPlacer.java
@@ -1,11 +1,9 @@
 package org.woadloom.core.placement;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.woadloom.core.LogEntry;
 import org.woadloom.core.LogEvent;
 import org.woadloom.core.SchedulerState;
@@ -24,26 +22,19 @@
  * much for one step, and goes on there.
  */
 public final class TaskPlacer {
-    /**
-     * How many machines one step examines at most, each counted anew for each job. It takes a small
-     * part of the leader key's lease, also on a slow processor.
-     */
-    private static final int MAX_CANDIDATES_PER_STEP = 200_000;
+    /** It takes a small part of the leader key's lease, also on a slow processor. */
+    private static final int MAX_MACHINES_PER_STEP = 200_000;
 
     private final SchedulerState state;
     private final PlacementConstraints constraints;
     private final Reservations reservations;
     private final QueueOrder order;
 
-    /** The jobs that the present search has tried to place. */
-    private final Set<Job> searched = new HashSet<>();
+    private final SteppedSearch search = new SteppedSearch(MAX_MACHINES_PER_STEP);
 
     /** What found no machine in the present search. */
     private final List<ResourceRequest> unsatisfied = new ArrayList<>();
 
-    /** How many machines were examined for jobs in this term: what a search costs. */
-    private long candidatesExamined;
-
     public TaskPlacer(
             SchedulerState state, PlacementConstraints constraints, Reservations reservations) {
         this.state = state;
@@ -64,8 +55,8 @@
     }
 
     /** How many machines the searches of this term have examined, counted anew for each job. */
-    public long candidatesExamined() {
-        return candidatesExamined;
+    public long machinesExamined() {
+        return search.machinesExamined();
     }
 
     /**
@@ -75,28 +66,27 @@
      */
     public boolean place() {
         long attempt = state.newAttempt();
-        long maxExamined = candidatesExamined + MAX_CANDIDATES_PER_STEP;
+        search.beginStep();
         List<Machine> openMachines = null;
         for (Job job : queue()) {
             boolean hasReservation = reservations.countFor(job) > 0;
-            if (searched.contains(job) || (!hasReservation && isPassedOver(job))) {
+            if (search.isVisited(job) || (!hasReservation && isPassedOver(job))) {
                 continue;
             }
             if (openMachines == null) {
                 openMachines = openMachines();
             }
-            if (candidatesExamined + searchCost(job, openMachines) > maxExamined
-                    && candidatesExamined > maxExamined - MAX_CANDIDATES_PER_STEP) {
+            if (!search.allows(searchCost(job, openMachines))) {
                 return false;
             }
-            searched.add(job);
+            search.visit(job);
             if (placeJob(job, attempt, openMachines)
                     && !hasReservation
                     && ResourceRequest.isRepresentative(job)) {
                 unsatisfied.add(ResourceRequest.of(job));
             }
         }
-        searched.clear();
+        search.end();
         unsatisfied.clear();
         return true;
     }
@@ -140,7 +130,7 @@
                                 job, size.maxMoreTasks(job.nextPending(0), job.pendingTasks())))) {
             return false;
         }
-        candidatesExamined += openMachines.size();
+        search.count(openMachines.size());
         CandidateMachines candidates =
                 new CandidateMachines(
                         job, openMachines, state.scarceZones(), constraints, reservations);
@@ -210,7 +200,7 @@
     }
 
     private Map<String, Integer> gangFitsByZone(Job job) {
-        candidatesExamined += state.machines().size();
+        search.count(state.machines().size());
         Map<String, Integer> fitsByZone = new LinkedHashMap<>();
         for (Machine machine : state.machines().values()) {
             if (constraints.acceptsTasks(machine)
--- a/src/main/java/org/woadloom/core/reservation/GangReservationPlanner.java
+++ b/src/main/java/org/woadloom/core/reservation/GangReservationPlanner.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -15,6 +14,7 @@
 import org.woadloom.core.machines.Machine;
 import org.woadloom.core.placement.PlacementConstraints;
 import org.woadloom.core.placement.Resources;
+import org.woadloom.core.placement.SteppedSearch;
 
 /**
  * Accumulates reservations for gangs, and for tasks too large for what is free on any machine now.
@@ -23,7 +23,7 @@
  * it does. If one of them fails, all are released and the job queues again.
  */
 public final class GangReservationPlanner {
-    /** How many machines one step examines at most, each counted anew for each job. */
+    /** Half of what a search for placements may examine in the same step. */
     private static final int MAX_MACHINES_PER_STEP = 100_000;
 
     private final SchedulerState state;
@@ -38,11 +38,7 @@
 
     private final Map<Job, Long> renewedMicros = new LinkedHashMap<>();
 
-    /** The jobs that the present planning has tried to reserve for. */
-    private final Set<Job> tried = new HashSet<>();
-
-    /** How many machines were examined in this term: what planning costs. */
-    private long machinesExamined;
+    private final SteppedSearch search = new SteppedSearch(MAX_MACHINES_PER_STEP);
 
     public GangReservationPlanner(
             SchedulerState state, PlacementConstraints constraints, Reservations reservations) {
@@ -53,7 +49,7 @@
 
     /** How many machines the planning of this term has examined, counted anew for each job. */
     public long machinesExamined() {
-        return machinesExamined;
+        return search.machinesExamined();
     }
 
     /**
@@ -160,26 +156,23 @@
     private void reserveFor(List<Job> waiting) {
         Set<String> openZones = openZones();
         List<Machine> accepting = acceptingMachines();
-        long maxExamined = machinesExamined + MAX_MACHINES_PER_STEP;
-        boolean isFirst = true;
+        search.beginStep();
         for (Job job : waiting) {
             if (openZones.isEmpty()) {
                 break;
             }
-            if (tried.contains(job)) {
+            if (search.isVisited(job)) {
                 continue;
             }
-            long cost = (long) accepting.size() * (openZones.size() + 1);
-            if (!isFirst && machinesExamined + cost > maxExamined) {
+            if (!search.allows((long) accepting.size() * (openZones.size() + 1))) {
                 return;
             }
-            isFirst = false;
-            tried.add(job);
+            search.visit(job);
             if (tryReserve(job, openZones, accepting)) {
                 openZones.removeAll(holderByZone.keySet());
             }
         }
-        tried.clear();
+        search.end();
     }
 
     private List<Machine> acceptingMachines() {
@@ -195,7 +188,7 @@
     /** The zones with machines in which no job reserves. */
     private Set<String> openZones() {
         Set<String> open = new LinkedHashSet<>();
-        machinesExamined += state.machines().size();
+        search.count(state.machines().size());
         for (Machine machine : state.machines().values()) {
             if (!holderByZone.containsKey(machine.zone)) {
                 open.add(machine.zone);
@@ -283,7 +276,7 @@
 
     private List<Machine> machinesByFreeCpu(Job job, Set<String> zones, List<Machine> accepting) {
         List<Machine> candidates = new ArrayList<>();
-        machinesExamined += accepting.size();
+        search.count(accepting.size());
         for (Machine machine : accepting) {
             if (zones.contains(machine.zone)
                     && constraints.allows(job, machine)
--- a/src/test/java/org/woadloom/core/BoundedStepTest.java
+++ b/src/test/java/org/woadloom/core/BoundedStepTest.java
@@ -20,10 +20,10 @@
     /** Of one processor, as a node has it. */
     private static final double PROCESSOR_SHARE = 0.4;
 
-    private static final double SECONDS_PER_CANDIDATE = 0.5e-6;
+    private static final double SECONDS_PER_MACHINE = 0.5e-6;
 
-    private static final long MAX_CANDIDATES =
-            (long) (STEP_SECONDS * PROCESSOR_SHARE / SECONDS_PER_CANDIDATE);
+    private static final long MAX_MACHINES =
+            (long) (STEP_SECONDS * PROCESSOR_SHARE / SECONDS_PER_MACHINE);
 
     private static final int STEPS = 200;
     private static final long STEP_INTERVAL_MICROS = 10_000;
@@ -57,8 +57,8 @@
     void noStepSearchesForLongerThanTheLeadersLeaseAllows(int jobs) {
         LeaderFixture leader = afterAFullStop(jobs);
         assertTrue(
-                leader.mostCandidatesInAStep() <= MAX_CANDIDATES,
-                leader.mostCandidatesInAStep() + " candidates in a step");
+                leader.mostMachinesInAStep() <= MAX_MACHINES,
+                leader.mostMachinesInAStep() + " machines in a step");
     }
 
     @Test
--- a/src/test/java/org/woadloom/core/LeaderFixture.java
+++ b/src/test/java/org/woadloom/core/LeaderFixture.java
@@ -30,7 +30,7 @@
     public final List<SchedulerAction> actions = new ArrayList<>();
     private long stamps = 100;
     private long replies;
-    private long mostCandidatesInAStep;
+    private long mostMachinesInAStep;
 
     /** Leads with these machines recorded. */
     public LeaderFixture(String... hosts) {
@@ -73,10 +73,9 @@
     public void step(SchedulerEvent... commands) {
         List<SchedulerEvent> next = List.of(commands);
         while (next != null) {
-            long examined = core.candidatesExamined();
+            long examined = core.machinesExamined();
             List<SchedulerAction> done = core.step(now, now, next);
-            mostCandidatesInAStep =
-                    Math.max(mostCandidatesInAStep, core.candidatesExamined() - examined);
+            mostMachinesInAStep = Math.max(mostMachinesInAStep, core.machinesExamined() - examined);
             actions.addAll(done);
             List<SchedulerEvent> written = new ArrayList<>();
             for (SchedulerAction action : done) {
@@ -228,8 +227,8 @@
     }
 
     /** The most machines that one step so far has examined for placements. */
-    public long mostCandidatesInAStep() {
-        return mostCandidatesInAStep;
+    public long mostMachinesInAStep() {
+        return mostMachinesInAStep;
     }
 
     /** Nobody answers any of them. */
--- /dev/null
+++ b/src/test/java/org/woadloom/core/placement/SteppedSearchTest.java
@@ -0,0 +1,43 @@
+package org.woadloom.core.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.woadloom.core.SchedulerFixture;
+import org.woadloom.core.jobs.Job;
+
+class SteppedSearchTest {
+    private final Job job = new SchedulerFixture().job("j-1", 1, 1, 1);
+    private final SteppedSearch search = new SteppedSearch(10);
+
+    @Test
+    void aStepExaminesNoMoreThanItMay() {
+        search.beginStep();
+        search.count(6);
+        assertTrue(search.allows(4));
+        assertFalse(search.allows(5));
+        search.beginStep();
+        assertTrue(search.allows(5));
+        assertEquals(6, search.machinesExamined());
+    }
+
+    /** Without it a job that needs more than a step allows would stop every search. */
+    @Test
+    void theFirstVisitOfAStepIsAlwaysAllowed() {
+        search.beginStep();
+        assertTrue(search.allows(11));
+        search.count(11);
+        assertFalse(search.allows(1));
+    }
+
+    @Test
+    void aJobIsVisitedOnceInASearch() {
+        search.visit(job);
+        search.beginStep();
+        assertTrue(search.isVisited(job));
+        search.end();
+        assertFalse(search.isVisited(job));
+    }
+}
