--- a/src/test/java/org/woadloom/sim/CoalescingJobReaderTest.java
+++ b/src/test/java/org/woadloom/sim/CoalescingJobReaderTest.java
@@ -73,13 +73,11 @@
             long timeout,
             HttpTransport.Callback callback) {
         requests++;
-        boolean[] answered = {false};
-        sim.after(timeout, () -> answer(answered, callback, HttpTransport.NO_RESPONSE, Map.of()));
+        SingleAnswer answer = new SingleAnswer(callback);
+        sim.after(timeout, () -> answer.answer(HttpTransport.NO_RESPONSE, Map.of()));
         if (path.startsWith("/follow") && random.nextInt(100) < gone) {
             toldGone++;
-            sim.after(
-                    2_000 + random.nextInt(300_000),
-                    () -> answer(answered, callback, 410, Map.of()));
+            sim.after(2_000 + random.nextInt(300_000), () -> answer.answer(410, Map.of()));
             return;
         }
         assertFalse(path.contains("since=-"), "the service would call it malformed: " + path);
@@ -103,7 +101,7 @@
                                                         : 2_000,
                                                 () -> {
                                                     if (!lost) {
-                                                        answer(answered, callback, status, map);
+                                                        answer.answer(status, map);
                                                     }
                                                 }));
                     } catch (MalformedMessageException e) {
@@ -112,17 +110,6 @@
                 });
     }
 
-    private static void answer(
-            boolean[] answered,
-            HttpTransport.Callback callback,
-            int status,
-            Map<String, Object> map) {
-        if (!answered[0]) {
-            answered[0] = true;
-            callback.answered(status, status > 0 ? Cbor.encode(map) : new byte[0]);
-        }
-    }
-
     private void write(Map<?, ?>... changes) {
         store.handle(
                 "POST",
--- a/src/test/java/org/woadloom/sim/LeadershipUnderLoadTest.java
+++ b/src/test/java/org/woadloom/sim/LeadershipUnderLoadTest.java
@@ -17,7 +17,6 @@
 import org.woadloom.protocol.Cbor;
 import org.woadloom.protocol.MachineType;
 import org.woadloom.protocol.MalformedMessageException;
-import org.woadloom.settings.Peer;
 import org.woadloom.settings.ServiceSettings;
 import org.woadloom.settings.Team;
 import org.woadloom.store.RecordFormat;
@@ -206,27 +205,12 @@
     }
 
     private static ServiceSettings settings(int index) {
-        List<Peer> peers = new ArrayList<>();
-        for (int other = 0; other < NODES; other++) {
-            if (other != index) {
-                peers.add(new Peer("node-" + other, "a", "node-" + other + ":1"));
-            }
-        }
-        return new ServiceSettings(
+        return NodeSettings.of(
                 "node-" + index,
-                "a",
-                "0:1",
-                "0:2",
-                peers,
-                "cloud",
-                "state",
+                NodeSettings.peersOf(index, NODES, other -> "node-" + other + ":1"),
                 List.of("a"),
                 List.of(new Team("team", 8, 8, 0, 0)),
-                List.of(),
-                new ServiceSettings.Agents(1, 1, 1),
-                LIMITS,
-                new ServiceSettings.Cloud(1, 1),
-                new ServiceSettings.Resources(1, 1, 1));
+                LIMITS);
     }
 
     private static Election.Fence fence() {
--- a/src/test/java/org/woadloom/sim/SimulatedStore.java
+++ b/src/test/java/org/woadloom/sim/SimulatedStore.java
@@ -58,21 +58,7 @@
     static StoreClient client(
             EventLoop loop, HttpTransport transport, ServiceSettings.Store limits, long seed) {
         ServiceSettings settings =
-                new ServiceSettings(
-                        "node",
-                        "a",
-                        "0:1",
-                        "0:2",
-                        List.of(),
-                        "cloud",
-                        "state",
-                        List.of("a"),
-                        List.of(),
-                        List.of(),
-                        new ServiceSettings.Agents(1, 1, 1),
-                        limits,
-                        new ServiceSettings.Cloud(1, 1),
-                        new ServiceSettings.Resources(1, 1, 1));
+                NodeSettings.of("node", List.of(), List.of("a"), List.of(), limits);
         return new StoreClient(
                 loop, transport, settings, new StoreLimits(limits), new Random(seed), served -> {});
     }
--- a/src/test/java/org/woadloom/sim/StatusRecoveryTest.java
+++ b/src/test/java/org/woadloom/sim/StatusRecoveryTest.java
@@ -13,11 +13,9 @@
 import org.junit.jupiter.api.Test;
 import org.woadloom.http.JobApi;
 import org.woadloom.net.HttpTransport;
-import org.woadloom.protocol.Cbor;
 import org.woadloom.protocol.JobDescription;
 import org.woadloom.protocol.MachineType;
 import org.woadloom.protocol.MalformedMessageException;
-import org.woadloom.settings.Peer;
 import org.woadloom.settings.ServiceSettings;
 import org.woadloom.store.JobRecord;
 import org.woadloom.store.RecordFormat;
@@ -141,27 +139,12 @@
     }
 
     private static ServiceSettings settings(int index) {
-        List<Peer> peers = new ArrayList<>();
-        for (int other = 0; other < NODES; other++) {
-            if (other != index) {
-                peers.add(new Peer("node-" + other, "a", "0:" + other));
-            }
-        }
-        return new ServiceSettings(
+        return NodeSettings.of(
                 "node-" + index,
-                "a",
-                "0:1",
-                "0:2",
-                peers,
-                "cloud",
-                "state",
+                NodeSettings.peersOf(index, NODES, other -> "0:" + other),
                 List.of("a"),
                 List.of(),
-                List.of(),
-                new ServiceSettings.Agents(1, 1, 1),
-                LIMITS,
-                new ServiceSettings.Cloud(1, 1),
-                new ServiceSettings.Resources(1, 1, 1));
+                LIMITS);
     }
 
     /** The store's network and its limit of requests, which all nodes share. */
@@ -172,8 +155,8 @@
             byte[] body,
             long timeout,
             HttpTransport.Callback callback) {
-        boolean[] answered = {false};
-        sim.after(timeout, () -> answer(answered, callback, HttpTransport.NO_RESPONSE, Map.of()));
+        SingleAnswer answer = new SingleAnswer(callback);
+        sim.after(timeout, () -> answer.answer(HttpTransport.NO_RESPONSE, Map.of()));
         if (silent) {
             return;
         }
@@ -186,26 +169,13 @@
                                 path,
                                 Map.of(),
                                 (status, map) ->
-                                        sim.after(
-                                                4_000,
-                                                () -> answer(answered, callback, status, map)));
+                                        sim.after(4_000, () -> answer.answer(status, map)));
                     } else {
-                        answer(answered, callback, TOO_MANY_REQUESTS, Map.of());
+                        answer.answer(TOO_MANY_REQUESTS, Map.of());
                     }
                 });
     }
 
-    private static void answer(
-            boolean[] answered,
-            HttpTransport.Callback callback,
-            int status,
-            Map<String, Object> map) {
-        if (!answered[0]) {
-            answered[0] = true;
-            callback.answered(status, status > 0 ? Cbor.encode(map) : new byte[0]);
-        }
-    }
-
     private boolean takeRequestToken() {
         double refilled = (sim.now() - requestTokensAt) * LIMITS.rps() / SECOND;
         requestTokens = Math.min(LIMITS.rps(), requestTokens + refilled);
--- a/src/test/java/org/woadloom/sim/UserWritesTest.java
+++ b/src/test/java/org/woadloom/sim/UserWritesTest.java
@@ -31,21 +31,12 @@
     private static final ServiceSettings.Store LIMITS =
             new ServiceSettings.Store(150, 60, 8192, 12, null);
     private static final ServiceSettings SETTINGS =
-            new ServiceSettings(
+            NodeSettings.of(
                     "node",
-                    "a",
-                    "0:1",
-                    "0:2",
                     List.of(),
-                    "cloud",
-                    "state",
                     List.of("a", "b"),
                     List.of(new Team("team", 8, 8, 0, 0)),
-                    List.of(),
-                    new ServiceSettings.Agents(1, 1, 1),
-                    LIMITS,
-                    new ServiceSettings.Cloud(1, 1),
-                    new ServiceSettings.Resources(1, 1, 1));
+                    LIMITS);
     private static final MachineType TYPE =
             new MachineType("m", 4, 0, 8, 50, 1, 1, 0.3, 30_000_000, List.of("a"));
     private static final MachineType ADDED =
@@ -139,8 +130,8 @@
             byte[] body,
             long timeout,
             HttpTransport.Callback callback) {
-        boolean[] answered = {false};
-        sim.after(timeout, () -> answer(answered, callback, HttpTransport.NO_RESPONSE, Map.of()));
+        SingleAnswer answer = new SingleAnswer(callback);
+        sim.after(timeout, () -> answer.answer(HttpTransport.NO_RESPONSE, Map.of()));
         boolean none = path.equals("/txn") && random.nextInt(100) < unanswered;
         lost += none ? 1 : 0;
         reads += method.equals("GET") ? 1 : 0;
@@ -158,7 +149,7 @@
                                                     2_000,
                                                     () -> {
                                                         if (!none) {
-                                                            answer(answered, callback, status, map);
+                                                            answer.answer(status, map);
                                                         }
                                                     })));
         }
@@ -172,17 +163,6 @@
         }
     }
 
-    private static void answer(
-            boolean[] answered,
-            HttpTransport.Callback callback,
-            int status,
-            Map<String, Object> map) {
-        if (!answered[0]) {
-            answered[0] = true;
-            callback.answered(status, status > 0 ? Cbor.encode(map) : new byte[0]);
-        }
-    }
-
     private Asked ask(String jobId, Consumer<Consumer<Response>> request) {
         Asked asked = new Asked(jobId);
         long from = sim.now();
