--- a/src/main/java/org/woadloom/node/NodeGauges.java
+++ b/src/main/java/org/woadloom/node/NodeGauges.java
@@ -57,6 +57,7 @@
         metrics.gauge("woadloom.jobs", scheduler, Scheduler::jobs);
         metrics.gauge("woadloom.machines", scheduler, Scheduler::machines);
         metrics.gauge("woadloom.machines.deaf", scheduler, Scheduler::unreachableMachines);
+        metrics.gauge("woadloom.core.machines_examined", scheduler, Scheduler::machinesExamined);
         metrics.gauge("woadloom.jobs.waiting", scheduler, Scheduler::blockedJobs);
         metrics.gauge("woadloom.rollout.number", rollout, RolloutParticipant::number);
         metrics.gauge("woadloom.rollout.on", rollout, RolloutParticipant::enabledCount);
