Known red: ended jobs have no answer after all nodes restart

StatusRecoveryTest polls 12,000 jobs that ended beside its 12,000 open ones, in the same scenario: three nodes, 150 requests a second to the store, polls every five seconds at the nodes in turn, no other fault than the restart.

Seen on unchanged code: 12,000 of 12,000 ended jobs have no answer 75 s after the restart (180,002 polls answered, all of open jobs; 179,271 not).

Polls of pipelines six jobs long, also new, are answered in time after the same restart: the rounds that each level waits for are not the cause at this length.

--- a/src/test/java/org/woadloom/sim/StatusRecoveryTest.java
+++ b/src/test/java/org/woadloom/sim/StatusRecoveryTest.java
@@ -17,20 +17,23 @@
 import org.woadloom.protocol.MachineType;
 import org.woadloom.protocol.MalformedMessageException;
 import org.woadloom.settings.ServiceSettings;
+import org.woadloom.store.FinalRecord;
 import org.woadloom.store.JobRecord;
 import org.woadloom.store.RecordFormat;
 import org.woadloom.store.StoreClient;
 import org.woadloom.store.StoreLimits;
 
 /**
- * The open jobs of about 4,000 machines are polled at three nodes in turn while the nodes can't
- * read the store or all restart. Guards against jobs whose polls stay unanswered after the fault is
- * over.
+ * The open and ended jobs of about 4,000 machines are polled at three nodes in turn while the nodes
+ * can't read the store or all restart. Guards against jobs whose polls stay unanswered after the
+ * fault is over.
  */
 class StatusRecoveryTest {
     private static final long SECOND = 1_000_000;
     private static final int NODES = 3;
     private static final int JOBS = 12_000;
+    private static final int ENDED_JOBS = 12_000;
+    private static final int PIPELINE_LENGTH = 6;
     private static final long POLL_INTERVAL = 5 * SECOND;
     private static final long USER_TIMEOUT = 2 * SECOND;
 
@@ -50,6 +53,7 @@
 
     private static final int WARM_UP_JOBS_PER_SECOND = 20;
     private static final long FAULT_FREE_MICROS = 20 * SECOND;
+    private static final String UNKNOWN_JOB = "j-999999";
     private static final int OK = 200;
     private static final int BAD_REQUEST = 400;
     private static final int NOT_FOUND = 404;
@@ -63,7 +67,8 @@
     private final SimulatedStore store = new SimulatedStore(sim, NO_LIMITS).withFullPages();
     private final Random random = new Random(4);
     private final List<JobApi> nodes = new ArrayList<>();
-    private final long[] lastAnswered = new long[JOBS];
+    private final long[] lastAnswered = new long[JOBS + ENDED_JOBS];
+    private int jobCount = JOBS;
     private double requestTokens = LIMITS.rps();
     private long requestTokensAt;
     private boolean storeSilent;
@@ -77,16 +82,30 @@
         startNodes();
     }
 
+    /** Returns the job's id; the ids of open and ended jobs are interleaved. */
     private static String jobId(int job) {
-        return String.format("j-%06d", job);
+        return String.format("j-%06d", job < JOBS ? 2 * job : 2 * (job - JOBS) + 1);
     }
 
-    private void put(int job) throws MalformedMessageException {
-        JobRecord record =
-                JobRecord.accepted(JobDescription.parse(LoopbackNode.job(jobId(job), "team")), 1);
+    private void put(int job, String... dependencies) throws MalformedMessageException {
+        Map<String, Object> description = LoopbackNode.job(jobId(job), "team");
+        description.put("awaits", List.of(dependencies));
+        JobRecord record = JobRecord.accepted(JobDescription.parse(description), 1);
+        putValue("job/" + jobId(job), record.toMap(RecordFormat.COMPACT));
+    }
+
+    private void addEndedJobs() {
+        jobCount = JOBS + ENDED_JOBS;
+        for (int job = JOBS; job < jobCount; job++) {
+            FinalRecord ended = new FinalRecord(jobId(job), false, 1, 1, false);
+            putValue("final/" + jobId(job), ended.toMap(RecordFormat.COMPACT));
+        }
+    }
+
+    private void putValue(String key, Map<String, Object> value) {
         Map<String, Object> put = new LinkedHashMap<>();
-        put.put("put", "job/" + jobId(job));
-        put.put("value", record.toMap(RecordFormat.COMPACT));
+        put.put("put", key);
+        put.put("value", value);
         store.handle(
                 "POST",
                 "/txn",
@@ -195,7 +214,7 @@
 
     /** Makes every node read all jobs, at a rate below every rate limit. */
     private void warmUp() {
-        for (int job = 0; job < JOBS; job++) {
+        for (int job = 0; job < jobCount; job++) {
             for (int node = 0; node < NODES; node++) {
                 ask(node, job);
             }
@@ -221,7 +240,7 @@
 
     /** Polls each job every five seconds, at each node in turn. */
     private void startPolling() {
-        for (int job = 0; job < JOBS; job++) {
+        for (int job = 0; job < jobCount; job++) {
             poll(job, random.nextInt(NODES), random.nextInt((int) POLL_INTERVAL));
         }
     }
@@ -244,7 +263,9 @@
     }
 
     private long unansweredSince(long since) {
-        return Arrays.stream(lastAnswered).filter(answered -> answered < since).count();
+        return Arrays.stream(lastAnswered, 0, jobCount)
+                .filter(answered -> answered < since)
+                .count();
     }
 
     /**
@@ -296,6 +317,28 @@
         assertAllAnsweredAgain();
     }
 
+    @Test
+    void pollsOfEndedJobsAreAnsweredAfterAllNodesRestart() {
+        addEndedJobs();
+        warmUp();
+        pollWithoutFaults();
+        startNodes();
+        assertAllAnsweredAgain();
+    }
+
+    @Test
+    void pollsOfPipelinesAreAnsweredAfterAllNodesRestart() throws MalformedMessageException {
+        for (int job = 0; job < JOBS; job++) {
+            if (job % PIPELINE_LENGTH != 0) {
+                put(job, jobId(job - 1));
+            }
+        }
+        warmUp();
+        pollWithoutFaults();
+        startNodes();
+        assertAllAnsweredAgain();
+    }
+
     @Test
     void invalidRequestsAreAnsweredDuringOverload() {
         startPolling();
@@ -310,7 +353,7 @@
                 List.of(NOT_FOUND, NOT_FOUND, BAD_REQUEST), statuses, "statuses answered at once");
         storeSilent = false;
         sim.run(sim.now() + MAX_UNANSWERED);
-        node.status(jobId(JOBS), response -> statuses.add(response.status()));
+        node.status(UNKNOWN_JOB, response -> statuses.add(response.status()));
         sim.run(sim.now() + USER_TIMEOUT);
         assertEquals(
                 NOT_FOUND,
