--- a/src/main/java/org/woadloom/reads/CoalescingJobReader.java
+++ b/src/main/java/org/woadloom/reads/CoalescingJobReader.java
@@ -1,9 +1,7 @@
 package org.woadloom.reads;
 
 import java.util.ArrayDeque;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -28,9 +26,9 @@
  * <p>A slow round would delay all queries, so after a while another one is started, and the first
  * answer counts.
  *
- * <p>Recently queried jobs are cached ({@link RecentJobs}). After a gap between rounds the whole
- * cache is dropped, because many changes may have been missed, and all open jobs are read again
- * page by page ({@link RecentJobsRefill}).
+ * <p>Open jobs are cached ({@link RecentJobs}). After a gap between rounds the whole cache is
+ * dropped, because many changes may have been missed, and all open jobs are read again page by page
+ * ({@link RecentJobsRefill}).
  */
 public final class CoalescingJobReader {
     private static final Logger LOG = LoggerFactory.getLogger(CoalescingJobReader.class);
@@ -278,10 +276,9 @@
             Round round, Result result, List<Event> changes, long storeRevision) {
         if (result == Result.OK) {
             // If a later round was answered first, changes after this round's revision have already
-            // been read and will not be read again, so this round's changes must not be cached for
-            // queried jobs.
-            Set<String> queried = storeRevision >= revision ? queriedJobs(round) : Set.of();
-            changes.forEach(change -> recentJobs.onChange(change, queried));
+            // been read and will not be read again.
+            boolean isLatest = storeRevision >= revision;
+            changes.forEach(change -> recentJobs.onChange(change, isLatest));
             advanceRevision(storeRevision, round);
             answerQueries(round);
         } else if (result == Result.NOT_FOUND) {
@@ -331,17 +328,6 @@
         revisionMicros = Math.max(revisionMicros, round.startMicros);
     }
 
-    private Set<String> queriedJobs(Round round) {
-        Set<String> jobIds = new HashSet<>();
-        for (Query query : queries) {
-            if (query.number > round.lastQueryNumber) {
-                break;
-            }
-            jobIds.add(query.jobId);
-        }
-        return jobIds;
-    }
-
     private void answerQueries(Round round) {
         completeQueries(round, query -> answer(round, query));
     }
--- a/src/main/java/org/woadloom/reads/JobReader.java
+++ b/src/main/java/org/woadloom/reads/JobReader.java
@@ -80,42 +80,13 @@
         lookUp(RequestPriority.NORMAL, jobId, deadlineMicros, consumer);
     }
 
-    /**
-     * Reads a job with the given request priority and deadline.
-     *
-     * @param hasEnded true if the job is known to have ended; its final state is then read first
-     */
-    void lookUp(
-            RequestPriority priority,
-            String jobId,
-            boolean hasEnded,
-            long deadlineMicros,
-            Consumer<JobLookup> consumer) {
-        if (hasEnded && cachedFinalState(jobId) == null) {
-            lookUpFinalState(
-                    priority,
-                    jobId,
-                    deadlineMicros,
-                    lookup -> {
-                        @SuppressWarnings("ReferenceEquality") // The one constant that says so.
-                        boolean isUnknown = lookup == JobLookup.UNKNOWN;
-                        if (isUnknown) {
-                            lookUp(priority, jobId, deadlineMicros, consumer);
-                        } else {
-                            consumer.accept(lookup);
-                        }
-                    });
-        } else {
-            lookUp(priority, jobId, deadlineMicros, consumer);
-        }
-    }
-
     /** Reads a job like {@link #lookUp(String, Consumer)}, with the given request priority. */
     public void lookUp(RequestPriority priority, String jobId, Consumer<JobLookup> consumer) {
         lookUp(priority, jobId, StoreClient.NO_DEADLINE, consumer);
     }
 
-    private void lookUp(
+    /** Reads a job with the given request priority and deadline. */
+    void lookUp(
             RequestPriority priority,
             String jobId,
             long deadlineMicros,
@@ -160,7 +131,7 @@
      * Reads a job's final state. A job moves from its record to its final state in one transaction,
      * so reading the record first and the final state second cannot miss it.
      */
-    private void lookUpFinalState(
+    void lookUpFinalState(
             RequestPriority priority,
             String jobId,
             long deadlineMicros,
@@ -179,8 +150,8 @@
                 });
     }
 
-    /** Decodes a final state; returns null if it cannot be decoded. */
-    private JobLookup parseFinalState(String jobId, Map<String, Object> value) {
+    /** Decodes and caches a final state; returns null if it cannot be decoded. */
+    JobLookup parseFinalState(String jobId, Map<String, Object> value) {
         try {
             FinalRecord finalState = FinalRecord.parse(jobId, value);
             finalStates.put(jobId, finalState);
--- a/src/main/java/org/woadloom/reads/RecentJobs.java
+++ b/src/main/java/org/woadloom/reads/RecentJobs.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.woadloom.net.EventLoop;
 import org.woadloom.reads.CoalescingJobReader.JobView;
@@ -17,9 +16,9 @@
 import org.woadloom.store.StoreKeys;
 
 /**
- * Cache of recently queried jobs, current as of the latest round of {@link CoalescingJobReader},
- * and the reads by key of jobs that are not cached. Rounds apply changes to it. After a gap between
- * rounds it has to be cleared and refilled.
+ * Cache of the open jobs, current as of the latest round of {@link CoalescingJobReader}, and the
+ * reads of jobs that are not cached. Rounds apply changes to it. After a gap between rounds it has
+ * to be cleared and refilled.
  */
 final class RecentJobs {
     /**
@@ -52,26 +51,21 @@
     }
 
     private final JobReader reader;
-    private final Cache<String, CachedJob> cachedJobs = newCache();
+    private final FinalStateReader finalStates;
 
-    /**
-     * Jobs whose record was removed, with the revision of the removal. A removed record never comes
-     * back, so only the final state remains to be read.
-     */
-    private final Cache<String, Long> endedJobs = newCache();
+    /** All open jobs, except those whose page the refill has not read yet or that were evicted. */
+    private final Cache<String, CachedJob> cachedJobs =
+            Caffeine.newBuilder().maximumSize(MAX_CACHED).executor(Runnable::run).build();
 
     private Map<String, PendingRead> pendingReads = new HashMap<>();
     private final RecentJobsRefill refill;
 
     RecentJobs(EventLoop loop, StoreClient store, JobReader reader) {
         this.reader = reader;
+        finalStates = new FinalStateReader(loop, store, reader);
         refill = new RecentJobsRefill(loop, store, this::onRecord);
     }
 
-    private static <V> Cache<String, V> newCache() {
-        return Caffeine.newBuilder().maximumSize(MAX_CACHED).executor(Runnable::run).build();
-    }
-
     /**
      * Discards cached jobs and reads in flight, because changes were missed and none of them is
      * known to be current.
@@ -106,21 +100,15 @@
     /**
      * Applies a change that a round has read.
      *
-     * @param queriedJobs jobs whose queries the round answers; for them the change is as good as a
-     *     read by key
+     * @param isLatest false if a later round has already been answered, so that the job may have
+     *     changed again
      */
-    void onChange(Event change, Set<String> queriedJobs) {
+    void onChange(Event change, boolean isLatest) {
         String jobId = change.key().substring(StoreKeys.JOB_PREFIX.length());
         boolean isRemoved = change.value() == null;
         refill.onChange(jobId, change);
-        if (isRemoved) {
-            endedJobs.put(jobId, change.revision());
-        }
         CachedJob job = cachedJobs.getIfPresent(jobId);
-        if (job == null
-                && !isRemoved
-                && queriedJobs.contains(jobId)
-                && !pendingReads.containsKey(jobId)) {
+        if (job == null && !isRemoved && isLatest && !pendingReads.containsKey(jobId)) {
             job = new CachedJob(0, null);
             cachedJobs.put(jobId, job);
         }
@@ -143,7 +131,7 @@
 
     /**
      * Answers a query from the cache, from a refill page that is still to be read, or from a read
-     * by key.
+     * of the job.
      *
      * @param priority priority of the read by key
      * @param deadlineMicros time after which a read that has not been sent is no longer useful
@@ -178,7 +166,7 @@
         read = new PendingRead();
         pendingReads.put(jobId, read);
         read.callbacks.add(callback);
-        readByKey(priority, jobId, read, deadlineMicros);
+        readFinalState(priority, jobId, read, deadlineMicros);
     }
 
     private JobView cachedView(String jobId) {
@@ -194,12 +182,29 @@
         return job.view;
     }
 
+    /** Reads the final state first, because the job of an uncached record has usually ended. */
+    private void readFinalState(
+            RequestPriority priority, String jobId, PendingRead read, long deadlineMicros) {
+        finalStates.read(
+                priority,
+                jobId,
+                deadlineMicros,
+                lookup -> {
+                    @SuppressWarnings("ReferenceEquality") // The one constant that says so.
+                    boolean hasNone = lookup == JobLookup.UNKNOWN;
+                    if (hasNone) {
+                        readByKey(priority, jobId, read, deadlineMicros);
+                    } else {
+                        completeRead(jobId, read, lookup);
+                    }
+                });
+    }
+
     private void readByKey(
             RequestPriority priority, String jobId, PendingRead read, long deadlineMicros) {
         reader.lookUp(
                 priority,
                 jobId,
-                endedJobs.getIfPresent(jobId) != null,
                 deadlineMicros,
                 lookup -> onReadByKey(priority, jobId, read, deadlineMicros, lookup));
     }
@@ -214,7 +219,7 @@
             completeRead(jobId, read, lookup);
         } else if (read.latestChange.value() == null) {
             read.latestChange = null;
-            readByKey(priority, jobId, read, deadlineMicros);
+            readFinalState(priority, jobId, read, deadlineMicros);
         } else {
             Event change = read.latestChange;
             completeRead(jobId, read, reader.parse(jobId, change.value(), change.revision()));
--- a/src/main/java/org/woadloom/reads/RecentJobsRefill.java
+++ b/src/main/java/org/woadloom/reads/RecentJobsRefill.java
@@ -1,10 +1,8 @@
 package org.woadloom.reads;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.woadloom.invariant.Invariants;
@@ -25,7 +23,6 @@
 final class RecentJobsRefill {
     private static final Logger LOG = LoggerFactory.getLogger(RecentJobsRefill.class);
     private static final long RETRY_MICROS = 200_000;
-    private static final long EXPIRY_CHECK_MICROS = 100_000;
 
     /** Receives the records that are read. */
     interface RecordListener {
@@ -44,7 +41,13 @@
      * @param onRead run when the page has been read
      * @param onExpired run if the page has not been read by the deadline
      */
-    private record WaitingQuery(long deadlineMicros, Runnable onRead, Runnable onExpired) {}
+    private record WaitingQuery(long deadlineMicros, Runnable onRead, Runnable onExpired)
+            implements WaitingQueries.Query {
+        @Override
+        public void expire() {
+            onExpired.run();
+        }
+    }
 
     /** One pass over all pages. */
     private static final class Pass {
@@ -66,8 +69,7 @@
     private final EventLoop loop;
     private final StoreClient store;
     private final RecordListener recordListener;
-    private final TreeMap<String, List<WaitingQuery>> waitingQueries = new TreeMap<>();
-    private boolean isExpiryScheduled;
+    private final WaitingQueries<WaitingQuery> waitingQueries;
 
     /** The current pass, or null. */
     private Pass pass;
@@ -76,6 +78,7 @@
         this.loop = loop;
         this.store = store;
         this.recordListener = recordListener;
+        waitingQueries = new WaitingQueries<>(loop);
     }
 
     /** Starts a pass at the first page. Queries that are already waiting keep waiting. */
@@ -102,10 +105,8 @@
      * the deadline.
      */
     void awaitPage(String jobId, long deadlineMicros, Runnable onRead, Runnable onExpired) {
-        waitingQueries
-                .computeIfAbsent(StoreKeys.job(jobId), key -> new ArrayList<>())
-                .add(new WaitingQuery(deadlineMicros, onRead, onExpired));
-        scheduleExpiry();
+        waitingQueries.add(
+                StoreKeys.job(jobId), new WaitingQuery(deadlineMicros, onRead, onExpired));
     }
 
     /** Records a change that a round has read. */
@@ -151,11 +152,11 @@
         }
         if (hasMore && !entries.isEmpty()) {
             readPage(current);
-            release(waitingQueries.headMap(current.lastKey, true));
+            release(waitingQueries.removeUpTo(current.lastKey));
         } else {
             pass = null;
             logCompleted(current);
-            release(waitingQueries);
+            release(waitingQueries.removeAll());
         }
     }
 
@@ -177,35 +178,10 @@
                 completed.jobs,
                 completed.pages,
                 (loop.nowMicros() - completed.startMicros) / 1_000,
-                waitingQueries.size());
-    }
-
-    private static void release(Map<String, List<WaitingQuery>> released) {
-        List<List<WaitingQuery>> queries = List.copyOf(released.values());
-        released.clear();
-        queries.forEach(ofJob -> ofJob.forEach(query -> query.onRead.run()));
+                waitingQueries.keyCount());
     }
 
-    private void scheduleExpiry() {
-        if (!isExpiryScheduled && !waitingQueries.isEmpty()) {
-            isExpiryScheduled = true;
-            loop.schedule(
-                    EXPIRY_CHECK_MICROS,
-                    () -> {
-                        isExpiryScheduled = false;
-                        expire();
-                        scheduleExpiry();
-                    });
-        }
-    }
-
-    private void expire() {
-        long now = loop.nowMicros();
-        List<WaitingQuery> expired = new ArrayList<>();
-        for (List<WaitingQuery> queries : waitingQueries.values()) {
-            queries.removeIf(query -> now >= query.deadlineMicros && expired.add(query));
-        }
-        waitingQueries.values().removeIf(List::isEmpty);
-        expired.forEach(query -> query.onExpired.run());
+    private static void release(List<WaitingQuery> queries) {
+        queries.forEach(query -> query.onRead.run());
     }
 }
--- a/src/test/java/org/woadloom/sim/CoalescingJobReaderTest.java
+++ b/src/test/java/org/woadloom/sim/CoalescingJobReaderTest.java
@@ -253,55 +253,22 @@
         }
     }
 
-    /** Creates, changes and ends jobs at random while they are queried. */
+    /**
+     * Creates, changes and ends jobs at random while they are queried, one by one and in bursts.
+     */
     private void runRandomScenario() {
-        Map<String, Integer> highestProgress = new LinkedHashMap<>();
-        int[] answersByProgress = new int[4];
-        List<int[]> answerCounts = new ArrayList<>();
+        AnswerChecker checker = new AnswerChecker();
         for (int i = 0; i < 5_000; i++) {
             int node = random.nextInt(NODES);
             boolean isReadByKey = random.nextInt(4) == 0;
             sim.after(random.nextInt(120_000_000), () -> changeJob(randomCurrentJobId()));
             sim.after(
                     random.nextInt(120_000_000),
-                    () -> {
-                        String jobId = randomCurrentJobId();
-                        int before = highestProgress.getOrDefault(jobId, 0);
-                        int[] answerCount = {0};
-                        answerCounts.add(answerCount);
-                        Consumer<JobStatus> check =
-                                status -> {
-                                    int now = progressOf(status);
-                                    assertTrue(
-                                            now >= before,
-                                            jobId + " went back from " + before + " to " + now);
-                                    highestProgress.merge(jobId, now, Math::max);
-                                    answersByProgress[Math.min(3, (now + 999) / 1_000)]++;
-                                };
-                        if (isReadByKey) {
-                            keyReaders
-                                    .get(node)
-                                    .lookUp(
-                                            jobId,
-                                            lookup -> {
-                                                answerCount[0]++;
-                                                if (lookup != null) {
-                                                    check.accept(lookup.status());
-                                                }
-                                            });
-                        } else {
-                            jobReaders
-                                    .get(node)
-                                    .read(
-                                            jobId,
-                                            shown -> {
-                                                answerCount[0]++;
-                                                if (shown != null) {
-                                                    check.accept(shown.status());
-                                                }
-                                            });
-                        }
-                    });
+                    () -> checker.query(node, randomCurrentJobId(), isReadByKey));
+        }
+        for (int i = 0; i < 100; i++) {
+            int node = random.nextInt(NODES);
+            sim.after(random.nextInt(120_000_000), () -> queryRecentJobs(checker, node));
         }
         sim.after(60_000_000, () -> store.setOutage(true));
         sim.after(66_000_000, () -> store.setOutage(false));
@@ -312,17 +279,69 @@
         // Queries that wait for slow reads are answered once the store has recovered.
         run(90_000_000);
         assertTrue(
-                answersByProgress[1] > 20 && answersByProgress[2] > 20 && answersByProgress[3] > 20,
-                Arrays.toString(answersByProgress));
+                Arrays.stream(checker.answersByProgress).skip(1).allMatch(answers -> answers > 20),
+                Arrays.toString(checker.answersByProgress));
         assertEquals(
                 0,
-                answerCounts.stream().filter(times -> times[0] != 1).count(),
+                checker.answerCounts.stream().filter(times -> times[0] != 1).count(),
                 "queries without exactly one answer");
         assertTrue(
                 !hasMissedChanges || compactedCount > 20,
                 compactedCount + " reads answered with 410");
     }
 
+    /** Queries more jobs at once than are read by key, ended and future ones among them. */
+    private void queryRecentJobs(AnswerChecker checker, int node) {
+        int newest = (int) (sim.now() / 1_000_000) + 10;
+        for (int job = Math.max(0, newest - 60); job <= newest; job++) {
+            checker.query(node, jobId(job), false);
+        }
+    }
+
+    /** Checks that no answer is older than one that was given before its query. */
+    private final class AnswerChecker {
+        private final Map<String, Integer> highestProgress = new LinkedHashMap<>();
+        private final int[] answersByProgress = new int[4];
+        private final List<int[]> answerCounts = new ArrayList<>();
+
+        void query(int node, String jobId, boolean isReadByKey) {
+            int before = highestProgress.getOrDefault(jobId, 0);
+            int[] answerCount = {0};
+            answerCounts.add(answerCount);
+            Consumer<JobStatus> check =
+                    status -> {
+                        int now = progressOf(status);
+                        assertTrue(
+                                now >= before, jobId + " went back from " + before + " to " + now);
+                        highestProgress.merge(jobId, now, Math::max);
+                        answersByProgress[Math.min(3, (now + 999) / 1_000)]++;
+                    };
+            if (isReadByKey) {
+                keyReaders
+                        .get(node)
+                        .lookUp(
+                                jobId,
+                                lookup -> {
+                                    answerCount[0]++;
+                                    if (lookup != null) {
+                                        check.accept(lookup.status());
+                                    }
+                                });
+            } else {
+                jobReaders
+                        .get(node)
+                        .read(
+                                jobId,
+                                shown -> {
+                                    answerCount[0]++;
+                                    if (shown != null) {
+                                        check.accept(shown.status());
+                                    }
+                                });
+            }
+        }
+    }
+
     /**
      * Returns a random current job id: each job exists for some seconds and is queried for a while
      * afterwards.
