The second read of a lookup goes before the first reads of others

What callers saw: after a restart of all nodes, users who repeated the cancellation or the submission of a job that had ended, without asking about it, got 503 for as long as they repeated it, though the store and all nodes were well.

A lookup by key of an ended job takes two reads, the record and then the final state, under one deadline. Above the node's rate of reads the first one is sent just before the deadline, and the second one queues behind all first reads of others: it was dropped each time, so each lookup cost a read and gave no answer.

Fix: the second read keeps the share of the store's rate that the first one had, but is sent before first reads. A lookup that has cost a read is finished or its user has gone.

--- a/src/main/java/org/woadloom/reads/JobReader.java
+++ b/src/main/java/org/woadloom/reads/JobReader.java
@@ -102,7 +102,7 @@
                 deadlineMicros,
                 (result, entry, storeRevision) -> {
                     if (result == Result.NOT_FOUND) {
-                        lookUpFinalState(priority, jobId, deadlineMicros, consumer);
+                        lookUpFinalState(followUpOf(priority), jobId, deadlineMicros, consumer);
                     } else {
                         consumer.accept(
                                 result == Result.OK
@@ -112,6 +112,10 @@
                 });
     }
 
+    private static RequestPriority followUpOf(RequestPriority priority) {
+        return priority == RequestPriority.NORMAL ? RequestPriority.FOLLOW_UP : priority;
+    }
+
     /**
      * Reads only a job's record. The result is null if the store did not provide an answer or there
      * is no record, so null does not mean that the job does not exist.
--- a/src/main/java/org/woadloom/store/StoreClient.java
+++ b/src/main/java/org/woadloom/store/StoreClient.java
@@ -46,6 +46,11 @@
         USER(RateShare.USERS),
         /** A request that work on machines waits for. */
         URGENT(RateShare.URGENT),
+        /**
+         * The second read of a lookup of normal priority. Sent before the first reads of others, as
+         * the first one is in vain if the second one is dropped.
+         */
+        FOLLOW_UP(RateShare.NORMAL),
         /** A request that may be slightly late, such as job progress. */
         NORMAL(RateShare.NORMAL),
         /** Background maintenance. */
@@ -64,7 +69,7 @@
 
         /** Returns true if the request is sent before the other requests of its share. */
         boolean isPreferred() {
-            return this == CANCELLATION || this == SHARED_READ;
+            return this == CANCELLATION || this == SHARED_READ || this == FOLLOW_UP;
         }
     }
 
--- a/src/test/java/org/woadloom/sim/StatusRecoveryTest.java
+++ b/src/test/java/org/woadloom/sim/StatusRecoveryTest.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.woadloom.http.JobApi;
+import org.woadloom.http.Response;
 import org.woadloom.net.HttpTransport;
 import org.woadloom.protocol.JobDescription;
 import org.woadloom.protocol.MachineType;
@@ -33,9 +34,11 @@
     private static final int NODES = 3;
     private static final int JOBS = 12_000;
     private static final int ENDED_JOBS = 12_000;
+    private static final int REPEATED_REQUESTS = 3_000;
     private static final int PIPELINE_LENGTH = 6;
     private static final long POLL_INTERVAL = 5 * SECOND;
     private static final long USER_TIMEOUT = 2 * SECOND;
+    private static final long CANCELLATION_TIMEOUT = 5 * SECOND;
 
     /**
      * A job whose polls get no answer for longer than this after the end of all faults counts as
@@ -254,6 +257,30 @@
                 });
     }
 
+    /** Cancels a job every five seconds, at each node in turn, until there is an answer. */
+    private void cancelUntilAnswered(int job, int node, long delay) {
+        sim.after(
+                delay,
+                () -> {
+                    long askedAt = sim.now();
+                    nodes.get(node)
+                            .cancel(jobId(job), response -> onCancelled(job, askedAt, response));
+                    sim.after(
+                            CANCELLATION_TIMEOUT,
+                            () -> {
+                                if (lastAnswered[job] < askedAt) {
+                                    cancelUntilAnswered(job, (node + 1) % NODES, 1);
+                                }
+                            });
+                });
+    }
+
+    private void onCancelled(int job, long askedAt, Response response) {
+        if (response.status() == OK && sim.now() - askedAt < CANCELLATION_TIMEOUT) {
+            lastAnswered[job] = sim.now();
+        }
+    }
+
     private void pollWithoutFaults() {
         startPolling();
         sim.run(sim.now() + FAULT_FREE_MICROS);
@@ -326,6 +353,19 @@
         assertAllAnsweredAgain();
     }
 
+    @Test
+    void repeatedCancellationsOfEndedJobsAreAnsweredAfterAllNodesRestart() {
+        warmUp();
+        pollWithoutFaults();
+        addEndedJobs();
+        startNodes();
+        jobCount = JOBS + REPEATED_REQUESTS;
+        for (int job = JOBS; job < jobCount; job++) {
+            cancelUntilAnswered(job, job % NODES, random.nextInt((int) POLL_INTERVAL));
+        }
+        assertAllAnsweredAgain();
+    }
+
     @Test
     void pollsOfPipelinesAreAnsweredAfterAllNodesRestart() throws MalformedMessageException {
         for (int job = 0; job < JOBS; job++) {
