--- a/src/main/java/org/woadloom/node/NodeGauges.java
+++ b/src/main/java/org/woadloom/node/NodeGauges.java
@@ -40,6 +40,9 @@
     static void registerStore(NodeMetrics metrics, StoreClient store) {
         metrics.gauge("woadloom.state.troubles", store, StoreClient::failureCount);
         metrics.gauge("woadloom.state.shed", store, StoreClient::shedCount);
+        metrics.gauge("woadloom.state.over_rate", store, StoreClient::rateRefusalCount);
+        metrics.gauge("woadloom.state.requests_per_s", store, StoreClient::requestsPerSecond);
+        metrics.gauge("woadloom.state.changes_per_s", store, StoreClient::writesPerSecond);
         for (RateShare share : RateShare.values()) {
             String name = share.name().toLowerCase(Locale.ROOT);
             metrics.gauge("woadloom.state.queued", "share", name, store, s -> s.queuedCount(share));
--- a/src/main/java/org/woadloom/store/StoreClient.java
+++ b/src/main/java/org/woadloom/store/StoreClient.java
@@ -235,6 +235,19 @@
         return queue.writesPerSecond();
     }
 
+    /** Returns the number of requests per second that this node may currently send. */
+    public double requestsPerSecond() {
+        return queue.requestsPerSecond();
+    }
+
+    /**
+     * Returns how many requests the store refused because they exceeded a rate limit, since the
+     * process started.
+     */
+    public long rateRefusalCount() {
+        return queue.rateRefusalCount();
+    }
+
     /**
      * Returns how many requests were answered with 429 or 503 or not at all, since the process
      * started.
--- a/src/main/java/org/woadloom/store/StoreRequestQueue.java
+++ b/src/main/java/org/woadloom/store/StoreRequestQueue.java
@@ -35,6 +35,7 @@
 
     private long failureCount;
     private long shedCount;
+    private long rateRefusalCount;
     private boolean isRefusing;
 
     /**
@@ -73,12 +74,17 @@
         return limits.writeRate(loop.nowMicros()) * fraction;
     }
 
-    private void updateRates(long nowMicros) {
+    /** Returns the number of requests per second that this node may currently send. */
+    double requestsPerSecond() {
         double fraction =
                 isLeader
                         ? StoreRequestPolicy.LEADER_REQUEST_FRACTION
                         : StoreRequestPolicy.FOLLOWERS_REQUEST_FRACTION / followerCount;
-        scheduler.setRates(nowMicros, limits.requestRate(nowMicros) * fraction, writesPerSecond());
+        return limits.requestRate(loop.nowMicros()) * fraction;
+    }
+
+    private void updateRates(long nowMicros) {
+        scheduler.setRates(nowMicros, requestsPerSecond(), writesPerSecond());
     }
 
     /** Returns how many requests were answered with 429 or 503 or not at all. */
@@ -94,6 +100,11 @@
         return shedCount;
     }
 
+    /** Returns how many requests the store refused because they exceeded a rate limit. */
+    long rateRefusalCount() {
+        return rateRefusalCount;
+    }
+
     int queuedCount(RateShare share) {
         return scheduler.queuedCount(share);
     }
@@ -246,6 +257,7 @@
             isRefusing = isUnavailable;
         }
         if (status == StoreProtocol.TOO_MANY_REQUESTS) {
+            rateRefusalCount++;
             limits.onRateExceeded(loop.nowMicros(), changeCount);
         }
         if (isFailure) {
