Soak: jobs that ended before the run are polled throughout

The soak had some 130 jobs, all of them submitted in the run, so a node that was restarted had next to nothing to recover.

--- a/src/test/java/org/woadloom/sim/SimulatedStore.java
+++ b/src/test/java/org/woadloom/sim/SimulatedStore.java
@@ -103,6 +103,13 @@
         return false;
     }
 
+    /** Stores a value at once, without regard to the limits. */
+    public void put(String path, Map<String, Object> value) {
+        generation++;
+        entries.put(path, new Entry(value, generation, 0));
+        changes.add(new Change(path, value, generation));
+    }
+
     boolean hasKeyWithPrefix(String prefix) {
         return entries.ceilingKey(prefix) != null && entries.ceilingKey(prefix).startsWith(prefix);
     }
--- a/src/test/java/org/woadloom/soak/SoakCommand.java
+++ b/src/test/java/org/woadloom/soak/SoakCommand.java
@@ -45,8 +45,13 @@
             report.violations().forEach(violation -> out.println("  " + violation));
             report.uncheckedRules().forEach(rule -> out.println("  never checked: " + rule));
             out.printf(
-                    "  reproduce with: --seeds %d --agents %d --fault-seconds %d; logs in %s%n",
-                    seed, options.agents(), options.faultSeconds(), run.directory());
+                    "  reproduce with: --seeds %d --agents %d --ended-jobs %d --fault-seconds %d;"
+                            + " logs in %s%n",
+                    seed,
+                    options.agents(),
+                    options.endedJobs(),
+                    options.faultSeconds(),
+                    run.directory());
             return false;
         }
     }
--- a/src/test/java/org/woadloom/soak/SoakJob.java
+++ b/src/test/java/org/woadloom/soak/SoakJob.java
@@ -49,6 +49,14 @@
         this.taskDurationMicros = taskDurationMicros;
     }
 
+    /** Creates a job that was accepted and done before the run. */
+    static SoakJob ended(String jobId) {
+        SoakJob job = new SoakJob(jobId, "red", false, 1, 1, null, false, 1);
+        job.acceptedMicros = 0;
+        job.completedTasks.set(0);
+        return job;
+    }
+
     boolean isAccepted() {
         return acceptedMicros != NEVER;
     }
--- a/src/test/java/org/woadloom/soak/SoakOptions.java
+++ b/src/test/java/org/woadloom/soak/SoakOptions.java
@@ -12,17 +12,22 @@
 /**
  * Options of a soak run.
  *
+ * @param endedJobs number of jobs that are in the store with their final states from the start and
+ *     are polled throughout
  * @param faultSeconds the length of the phase in which faults are injected
  * @param program the command that starts a controller; the settings file is appended to it
  */
 record SoakOptions(
         List<Long> seeds,
         int agents,
+        int endedJobs,
         int faultSeconds,
         Set<FaultKind> faults,
         List<String> program) {
     private static final int DEFAULT_AGENTS = 24;
     private static final int MAX_AGENTS = 500;
+    private static final int DEFAULT_ENDED_JOBS = 1_000;
+    private static final int MAX_ENDED_JOBS = 20_000;
     private static final int DEFAULT_FAULT_SECONDS = 40;
     private static final int MAX_FAULT_SECONDS = 3_600;
     private static final String DEPLOY_FILE = "deploy/service.toml";
@@ -43,6 +48,7 @@
     static SoakOptions parse(Path root, String... arguments) throws UsageException {
         List<Long> seeds = List.of();
         int agents = DEFAULT_AGENTS;
+        int endedJobs = DEFAULT_ENDED_JOBS;
         int faultSeconds = DEFAULT_FAULT_SECONDS;
         Set<FaultKind> faults = EnumSet.allOf(FaultKind.class);
         for (int i = 0; i < arguments.length; i += 2) {
@@ -53,6 +59,8 @@
             switch (arguments[i]) {
                 case "--seeds" -> seeds = parseSeeds(value);
                 case "--agents" -> agents = parseNumber("--agents", value, MAX_AGENTS);
+                case "--ended-jobs" ->
+                        endedJobs = parseNumber("--ended-jobs", value, MAX_ENDED_JOBS);
                 case "--fault-seconds" ->
                         faultSeconds = parseNumber("--fault-seconds", value, MAX_FAULT_SECONDS);
                 case "--faults" -> faults = parseFaults(value);
@@ -62,7 +70,8 @@
         if (seeds.isEmpty()) {
             throw new UsageException("missing option --seeds FIRST-LAST");
         }
-        return new SoakOptions(seeds, agents, faultSeconds, faults, packagedProgram(root));
+        return new SoakOptions(
+                seeds, agents, endedJobs, faultSeconds, faults, packagedProgram(root));
     }
 
     private static List<Long> parseSeeds(String text) throws UsageException {
--- a/src/test/java/org/woadloom/soak/SoakRun.java
+++ b/src/test/java/org/woadloom/soak/SoakRun.java
@@ -25,6 +25,7 @@
 import org.woadloom.protocol.Cbor;
 import org.woadloom.protocol.MalformedMessageException;
 import org.woadloom.settings.ServiceSettings;
+import org.woadloom.store.FinalRecord;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -150,6 +151,7 @@
                     store.advanceClockPeriodically();
                     cloud.publishListPeriodically();
                     users.start();
+                    addEndedJobs();
                     tick();
                 });
         awaitFirstAcceptedJob(startMicros);
@@ -170,13 +172,25 @@
                                 (loop.nowMicros() - startMicros) / 60e6));
     }
 
+    private void addEndedJobs() {
+        for (int number = 1; number <= options.endedJobs(); number++) {
+            SoakJob job = SoakJob.ended(String.format("j-5%05d", number));
+            jobs.put(job.jobId, job);
+            store.putFinalState(new FinalRecord(job.jobId, false, job.tasks, 0, false));
+            users.pollEnded(job);
+        }
+    }
+
     private void tick() {
         checkers.onTick(loop.nowMicros());
         loop.schedule(TICK_MICROS, this::tick);
     }
 
     private void awaitFirstAcceptedJob(long startMicros) throws InterruptedException {
-        while (!onLoop(() -> jobs.values().stream().anyMatch(SoakJob::isAccepted))) {
+        while (!onLoop(
+                () ->
+                        jobs.values().stream()
+                                .anyMatch(job -> job.acceptedMicros > 0 && job.isAccepted()))) {
             if (loop.nowMicros() - startMicros > START_TIMEOUT_MICROS) {
                 throw new IllegalStateException(
                         "no job was accepted within 60 s; logs are in " + directory);
--- a/src/test/java/org/woadloom/soak/SoakStore.java
+++ b/src/test/java/org/woadloom/soak/SoakStore.java
@@ -6,6 +6,9 @@
 import org.woadloom.settings.ServiceSettings;
 import org.woadloom.sim.SimulatedEventLoop;
 import org.woadloom.sim.SimulatedStore;
+import org.woadloom.store.FinalRecord;
+import org.woadloom.store.RecordFormat;
+import org.woadloom.store.StoreKeys;
 
 /**
  * The simulated store on the real clock, with latency, a request rate limit and injected faults.
@@ -46,6 +49,11 @@
         loop.schedule(CLOCK_INTERVAL_MICROS, this::advanceClockPeriodically);
     }
 
+    /** Stores the final state of a job before the run starts. */
+    void putFinalState(FinalRecord finalState) {
+        store.put(StoreKeys.finalState(finalState.jobId()), finalState.toMap(RecordFormat.COMPACT));
+    }
+
     void setOutage(boolean out) {
         store.setOutage(out);
     }
--- a/src/test/java/org/woadloom/soak/SoakTest.java
+++ b/src/test/java/org/woadloom/soak/SoakTest.java
@@ -19,6 +19,7 @@
 class SoakTest {
     private static final long SEED = 1;
     private static final int AGENTS = 12;
+    private static final int ENDED_JOBS = 1_000;
     private static final int FAULT_SECONDS = 25;
 
     /** The command that starts the compiled classes, as the package is not built when tests run. */
@@ -44,6 +45,7 @@
                 new SoakOptions(
                         List.of(SEED),
                         AGENTS,
+                        ENDED_JOBS,
                         FAULT_SECONDS,
                         EnumSet.allOf(FaultKind.class),
                         program());
--- a/src/test/java/org/woadloom/soak/SoakUsers.java
+++ b/src/test/java/org/woadloom/soak/SoakUsers.java
@@ -62,6 +62,11 @@
         pollUnknownJobs();
     }
 
+    /** Polls a job that has ended before the run. */
+    void pollEnded(SoakJob job) {
+        loop.schedule(1 + random.nextInt((int) POLL_INTERVAL_MICROS), () -> poll(job));
+    }
+
     void stopSubmitting() {
         submitting = false;
     }
