--- a/src/main/java/org/woadloom/reads/FinalStateReader.java
+++ b/src/main/java/org/woadloom/reads/FinalStateReader.java
@@ -22,7 +22,7 @@
 final class FinalStateReader {
     private static final Logger LOG = LoggerFactory.getLogger(FinalStateReader.class);
 
-    /** A page takes the store and this node about as long as this many reads by key. */
+    /** For fewer keys, a page would mostly return final states that nobody waits for. */
     private static final int MIN_KEYS_PER_PAGE = 16;
 
     private static final long RETRY_MICROS = 200_000;
