--- a/review/3/RecoveredMachineCase.java
+++ b/review/3/RecoveredMachineCase.java
@@ -8,7 +8,7 @@
 import standin.Worker;
 
 /**
- * The one ordinary machine in savannah fails every task that it starts for 12 s, while a job that
+ * The one ordinary machine in savannah fails every task that it starts for 6 s, while a job that
  * is bound to savannah is submitted. A service that started there before goes on. After that the
  * machine is well again and runs other jobs of the same shape.
  */
@@ -51,7 +51,7 @@
             return 2;
         }
         if (trouble) {
-            Thread.sleep(12_000);
+            Thread.sleep(6_000);
             rack.setSick(false);
             troublesEndS = world.record.seconds();
         }
