A poll asks once for each dependency, in the round that answers it

No question about five jobs was answered for 75 s.

Cause: StatusConfirmer asked whether a dependency is cancelled by recursion, a query for each path to a job and a round of reads for each level, without memory of jobs already asked, without the caller's deadline, and for each poll and repeated submission anew. The width made the heap run out (4^11 queries a poll); the depth alone is enough to leave users without an answer, as a round takes 100 to 200 ms and they wait 2 s.

Why this works: a round leaves the cache with all open jobs as of one revision, and the query is older than it. DependencyCheck walks the dependencies there, each job once for all queries of the round, by queues instead of recursion; only ended jobs not in the cache are read, with the deadline of the round's queries. A repeated submission of a job that waits is answered through the same query, so that one place decides.

--- a/src/main/java/org/woadloom/http/CancellationHandler.java
+++ b/src/main/java/org/woadloom/http/CancellationHandler.java
@@ -6,7 +6,6 @@
 import org.woadloom.net.EventLoop;
 import org.woadloom.protocol.JobDescription;
 import org.woadloom.protocol.JobStatus;
-import org.woadloom.reads.CoalescingJobReader.JobView;
 import org.woadloom.reads.JobLookup;
 import org.woadloom.reads.JobReader;
 import org.woadloom.reads.QueryRefusal;
@@ -193,7 +192,7 @@
         private void answerEnded(String status) {
             JobStatus ended = JobStatus.withoutCounts(jobId, status);
             confirmer.confirm(
-                    new JobView(ended, List.of()),
+                    ended,
                     deadlineMicros - loop.nowMicros(),
                     refusal -> answer.accept(refusalOrFound(refusal, ended)));
         }
--- a/src/main/java/org/woadloom/http/JobApi.java
+++ b/src/main/java/org/woadloom/http/JobApi.java
@@ -81,12 +81,19 @@
         JobReader reader = new JobReader(store, recordPolicy::onFormatSeen);
         CoalescingJobReader sharedReader =
                 new CoalescingJobReader(loop, store, reader, settings.store(), nodes);
-        StatusConfirmer confirmer = new StatusConfirmer(sharedReader, confirmation);
+        StatusConfirmer confirmer = new StatusConfirmer(confirmation);
         UserWrites writes = new UserWrites(loop, store, settings.store().rps(), nodes);
         AdmissionControl admission = new AdmissionControl(loop, settings, machineTypes);
         submissions =
                 new SubmissionHandler(
-                        loop, recordPolicy, reader, admission, confirmer, writes, changeListener);
+                        loop,
+                        recordPolicy,
+                        reader,
+                        sharedReader,
+                        admission,
+                        confirmer,
+                        writes,
+                        changeListener);
         statuses = new StatusHandler(loop, store, reader, sharedReader, confirmer);
         cancellations =
                 new CancellationHandler(
--- a/src/main/java/org/woadloom/http/StatusHandler.java
+++ b/src/main/java/org/woadloom/http/StatusHandler.java
@@ -69,7 +69,7 @@
             answer.accept(Refusal.unknownJob());
         } else {
             confirmer.confirm(
-                    job,
+                    job.status(),
                     CONFIRMATION_TIMEOUT_MICROS,
                     reason -> {
                         if (reason.isPresent()) {
--- a/src/main/java/org/woadloom/http/SubmissionHandler.java
+++ b/src/main/java/org/woadloom/http/SubmissionHandler.java
@@ -7,11 +7,14 @@
 import org.woadloom.net.EventLoop;
 import org.woadloom.protocol.Cbor;
 import org.woadloom.protocol.JobDescription;
+import org.woadloom.protocol.JobStatus;
 import org.woadloom.protocol.MalformedMessageException;
+import org.woadloom.reads.CoalescingJobReader;
 import org.woadloom.reads.CoalescingJobReader.JobView;
 import org.woadloom.reads.JobLookup;
 import org.woadloom.reads.JobReader;
 import org.woadloom.reads.QueryRefusal;
+import org.woadloom.reads.QueryResult;
 import org.woadloom.store.JobRecord;
 import org.woadloom.store.RecordFormat;
 import org.woadloom.store.StoreClient.Change;
@@ -38,6 +41,7 @@
     private final EventLoop loop;
     private final JobApi.RecordPolicy recordPolicy;
     private final JobReader reader;
+    private final CoalescingJobReader sharedReader;
     private final AdmissionControl admission;
     private final DependencyValidator dependencies;
     private final StatusConfirmer confirmer;
@@ -50,6 +54,7 @@
             EventLoop loop,
             JobApi.RecordPolicy recordPolicy,
             JobReader reader,
+            CoalescingJobReader sharedReader,
             AdmissionControl admission,
             StatusConfirmer confirmer,
             UserWrites writes,
@@ -57,6 +62,7 @@
         this.loop = loop;
         this.recordPolicy = recordPolicy;
         this.reader = reader;
+        this.sharedReader = sharedReader;
         this.admission = admission;
         this.confirmer = confirmer;
         this.writes = writes;
@@ -131,17 +137,35 @@
                 });
     }
 
+    /** A job that waits for others is read together with them, as for a poll. */
     private void answerAccepted(JobLookup lookup, long deadlineMicros, Consumer<JobAnswer> answer) {
+        JobView job = JobView.of(lookup);
+        if (job.dependencies().isEmpty()) {
+            answerConfirmed(job.status(), deadlineMicros, answer);
+            return;
+        }
+        sharedReader.query(
+                RequestPriority.NORMAL,
+                job.status().jobId(),
+                result -> {
+                    if (result instanceof QueryResult.Refused refused) {
+                        answer.accept(Refusal.of(refused.reason()));
+                    } else {
+                        answerConfirmed(result.viewOrNull().status(), deadlineMicros, answer);
+                    }
+                });
+    }
+
+    private void answerConfirmed(
+            JobStatus status, long deadlineMicros, Consumer<JobAnswer> answer) {
         confirmer.confirm(
-                JobView.of(lookup),
+                status,
                 deadlineMicros - loop.nowMicros(),
-                refusal -> answer.accept(refusalOrFound(refusal, lookup)));
+                refusal -> answer.accept(refusalOrFound(refusal, status)));
     }
 
-    private static JobAnswer refusalOrFound(Optional<QueryRefusal> refusal, JobLookup lookup) {
-        return refusal.isPresent()
-                ? Refusal.of(refusal.get())
-                : new JobAnswer.Found(lookup.status());
+    private static JobAnswer refusalOrFound(Optional<QueryRefusal> refusal, JobStatus status) {
+        return refusal.isPresent() ? Refusal.of(refusal.get()) : new JobAnswer.Found(status);
     }
 
     /** Joins the write of an equal submission that is queued or in flight, as a user's retry is. */
--- a/src/main/java/org/woadloom/reads/CoalescingJobReader.java
+++ b/src/main/java/org/woadloom/reads/CoalescingJobReader.java
@@ -68,6 +68,11 @@
      * @param dependencies ids of the jobs that it still waits for
      */
     public record JobView(JobStatus status, List<String> dependencies) {
+        /** Returns true for a job that is cancelled. */
+        boolean isCancelled() {
+            return status != null && status.isCancelled();
+        }
+
         public static JobView of(JobLookup lookup) {
             boolean isWaiting = lookup.record() != null && !lookup.record().cancelled();
             return new JobView(
@@ -80,12 +85,14 @@
      * A query for a job.
      *
      * @param priority priority of the read by key that the query may need
+     * @param checksDependencies whether the query is refused if a dependency is cancelled
      */
     private record Query(
             long number,
             long receivedMicros,
             String jobId,
             RequestPriority priority,
+            boolean checksDependencies,
             Consumer<QueryResult> callback) {}
 
     /**
@@ -155,24 +162,49 @@
                 Math.max(MIN_GAP_MICROS, (long) (MAX_CHANGES_PER_READ / limits.writeRps() * 1e6));
     }
 
-    /** Reads a job. The answer is null if the store did not provide one. */
+    /**
+     * Reads a job, whatever the state of its dependencies. The answer is null if the store did not
+     * provide one.
+     */
     public void read(String jobId, Consumer<JobView> callback) {
-        query(RequestPriority.NORMAL, jobId, result -> callback.accept(result.viewOrNull()));
+        addQuery(
+                RequestPriority.NORMAL,
+                jobId,
+                false,
+                result -> callback.accept(result.viewOrNull()));
     }
 
     /**
-     * Reads a job. The result contains the reason if there is no answer.
+     * Reads a job whose status is to be reported to a user. The result contains the reason if there
+     * is no answer. A job is not reported as queued once one of its direct or transitive
+     * dependencies is cancelled: the leader has to cancel the job too, and may not have written
+     * that yet if there was no leader or it was cut off from the store.
      *
      * @param priority priority of the read by key, if the job has to be read individually
      */
     public void query(RequestPriority priority, String jobId, Consumer<QueryResult> callback) {
+        addQuery(priority, jobId, true, callback);
+    }
+
+    private void addQuery(
+            RequestPriority priority,
+            String jobId,
+            boolean checksDependencies,
+            Consumer<QueryResult> callback) {
         JobLookup finalState = reader.cachedFinalState(jobId);
         if (finalState != null) {
             callback.accept(new QueryResult.Answered(JobView.of(finalState)));
             return;
         }
         lastQueryNumber++;
-        queries.add(new Query(lastQueryNumber, loop.nowMicros(), jobId, priority, callback));
+        queries.add(
+                new Query(
+                        lastQueryNumber,
+                        loop.nowMicros(),
+                        jobId,
+                        priority,
+                        checksDependencies,
+                        callback));
         scheduleRound();
     }
 
@@ -329,10 +361,16 @@
     }
 
     private void answerQueries(Round round) {
-        completeQueries(round, query -> answer(round, query));
+        long deadlineMicros = round.startMicros + QUERY_TIMEOUT_MICROS;
+        DependencyCheck dependencies =
+                new DependencyCheck(
+                        (jobId, callback) ->
+                                recentJobs.read(
+                                        RequestPriority.NORMAL, jobId, deadlineMicros, callback));
+        completeQueries(round, query -> answer(round, query, dependencies));
     }
 
-    private void answer(Round round, Query query) {
+    private void answer(Round round, Query query, DependencyCheck dependencies) {
         boolean isFresh =
                 Invariants.holds(
                         query.receivedMicros <= round.startMicros,
@@ -346,7 +384,22 @@
                 query.priority,
                 query.jobId,
                 query.receivedMicros + QUERY_TIMEOUT_MICROS,
-                query.callback);
+                result -> onRead(query, result, dependencies));
+    }
+
+    private static void onRead(Query query, QueryResult result, DependencyCheck dependencies) {
+        JobView view = result.viewOrNull();
+        if (!query.checksDependencies || view == null || view.dependencies().isEmpty()) {
+            query.callback.accept(result);
+            return;
+        }
+        dependencies.check(
+                view.dependencies(),
+                refusal ->
+                        query.callback.accept(
+                                refusal.isPresent()
+                                        ? new QueryResult.Refused(refusal.get())
+                                        : result));
     }
 
     private void refuseQueries(Round round) {
--- a/src/test/java/org/woadloom/sim/StatusRecoveryTest.java
+++ b/src/test/java/org/woadloom/sim/StatusRecoveryTest.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.woadloom.http.JobApi;
 import org.woadloom.http.Response;
@@ -36,6 +37,8 @@
     private static final int ENDED_JOBS = 12_000;
     private static final int REPEATED_REQUESTS = 3_000;
     private static final int PIPELINE_LENGTH = 6;
+    private static final int STAGES = 12;
+    private static final int JOBS_PER_STAGE = 4;
     private static final long POLL_INTERVAL = 5 * SECOND;
     private static final long USER_TIMEOUT = 2 * SECOND;
     private static final long CANCELLATION_TIMEOUT = 5 * SECOND;
@@ -91,10 +94,26 @@
     }
 
     private void put(int job, String... dependencies) throws MalformedMessageException {
+        putRecord(job, record(job, dependencies));
+    }
+
+    private void putRecord(int job, JobRecord record) {
+        putValue("job/" + jobId(job), record.toMap(RecordFormat.COMPACT));
+    }
+
+    private static JobRecord record(int job, String... dependencies)
+            throws MalformedMessageException {
         Map<String, Object> description = LoopbackNode.job(jobId(job), "team");
         description.put("awaits", List.of(dependencies));
-        JobRecord record = JobRecord.accepted(JobDescription.parse(description), 1);
-        putValue("job/" + jobId(job), record.toMap(RecordFormat.COMPACT));
+        return JobRecord.accepted(JobDescription.parse(description), 1);
+    }
+
+    /** Returns the jobs of the stage before the job's, for a pipeline that starts with job 0. */
+    private static String[] previousStage(int job) {
+        int stage = job / JOBS_PER_STAGE;
+        return IntStream.range((stage - 1) * JOBS_PER_STAGE, stage * JOBS_PER_STAGE)
+                .mapToObj(StatusRecoveryTest::jobId)
+                .toArray(String[]::new);
     }
 
     private void addEndedJobs() {
@@ -379,6 +398,34 @@
         assertAllAnsweredAgain();
     }
 
+    /** Guards against jobs forgotten because a node asked once for each path to a dependency. */
+    @Test
+    void pollOfPipelineWithManyPathsIsAnsweredInTime() throws MalformedMessageException {
+        int last = STAGES * JOBS_PER_STAGE - 1;
+        for (int job = JOBS_PER_STAGE; job <= last; job++) {
+            put(job, previousStage(job));
+        }
+        ask(0, last);
+        sim.run(sim.now() + USER_TIMEOUT);
+        assertEquals(List.of(1, 0), List.of(answers, refusals), "polls answered and refused");
+        putRecord(0, record(0).withCancellation());
+        ask(0, last);
+        sim.run(sim.now() + USER_TIMEOUT);
+        assertEquals(List.of(1, 1), List.of(answers, refusals), "after a cancellation");
+    }
+
+    /** Guards against jobs forgotten because each level of dependencies took a round of its own. */
+    @Test
+    void pollsOfLongChainAreAnsweredAfterAllNodesRestart() throws MalformedMessageException {
+        for (int job = 1; job < JOBS; job++) {
+            put(job, jobId(job - 1));
+        }
+        startPolling();
+        sim.run(sim.now() + SECOND);
+        startNodes();
+        assertAllAnsweredAgain();
+    }
+
     @Test
     void invalidRequestsAreAnsweredDuringOverload() {
         startPolling();
--- a/src/test/java/org/woadloom/sim/UserWritesTest.java
+++ b/src/test/java/org/woadloom/sim/UserWritesTest.java
@@ -361,6 +361,24 @@
         assertEquals(1, transactions);
     }
 
+    /** Guards against a repeated submission that walks a chain one round per job. */
+    @Test
+    void repeatedSubmissionOfLongChainIsAnsweredInTime() {
+        Map<String, Object> last = job(0);
+        submit(last);
+        for (int i = 1; i < 60; i++) {
+            sim.run(sim.now() + 250_000);
+            Map<String, Object> next = job(i);
+            next.put("awaits", List.of(last.get("uid")));
+            last = next;
+            submit(last);
+        }
+        sim.run(sim.now() + 1_000_000);
+        UserCall repeated = submit(last);
+        sim.run(sim.now() + 10_000_000);
+        assertTrue(repeated.succeededWithin(5_000_000), repeated.tookMicros + " us");
+    }
+
     /**
      * A write without an answer, and requests that joined it, are answered before the user's
      * timeout.
