A cancelled job never counts as done for the jobs that depend on it

Cause: the outcome of a dependency was decided in five places, and three of them took "a record with all tasks completed is stored" for "done". A job that is cancelled while its last task ends has both: its final state (cancelled) is written with all tasks completed. If its dependent and the acknowledgement of that write came in one batch, the dependent was queued to be cancelled in the next pass and unblocked before it.

Related, mended with it: a job whose record another final state had replaced was marked as cancelled, and a dependent that arrived then was cancelled on that guess; it now waits until the final state is read.

Why this works: Job.durableOutcome alone decides, cancelled before completed, and DependencyGraph.onOutcome is called wherever the outcome may have changed: on arrival of either job, cancellation, acknowledgement, read and removal. A cancellation that was read is applied before the outcome is passed on.

--- a/src/main/java/org/woadloom/core/jobs/DependencyGraph.java
+++ b/src/main/java/org/woadloom/core/jobs/DependencyGraph.java
@@ -70,11 +70,7 @@
     /** Registers a job: looks up its dependencies, and notifies jobs that already wait for it. */
     void onJobAdded(Job job) {
         if (dependents.containsKey(job.jobId())) {
-            if (job.isCancelled()) {
-                onCancelled(job.jobId());
-            } else if (job.persistence.isCompletionDurable()) {
-                onDone(job.jobId(), state.wallMicros());
-            }
+            onOutcome(job);
             prioritiesOutdated = true;
         }
         if (!job.isBlocked() || job.isTerminal()) {
@@ -91,16 +87,25 @@
             Job dependencyJob = state.jobs().get(dependency);
             if (dependencyJob == null) {
                 lookupDueMicros.putIfAbsent(dependency, state.nowMicros());
-            } else if (dependencyJob.isCancelled()) {
-                cancelledDependencies.add(dependency);
-            } else if (dependencyJob.persistence.isCompletionDurable()) {
-                onDone(dependency, state.wallMicros());
+            } else {
+                onOutcome(dependencyJob);
+            }
+        }
+    }
+
+    /** Passes the outcome of a job on to its dependents, if the store is known to hold one. */
+    void onOutcome(Job job) {
+        switch (job.durableOutcome()) {
+            case DONE -> onDone(job.jobId(), state.wallMicros());
+            case CANCELLED -> onCancelled(job.jobId());
+            case NONE, UNREAD -> {
+                // The dependents keep waiting.
             }
         }
     }
 
     /** Marks a job as durably done and unblocks the jobs that waited only for it. */
-    void onDone(String jobId, long wallMicros) {
+    private void onDone(String jobId, long wallMicros) {
         lookupDueMicros.remove(jobId);
         Set<Job> jobs = dependents.remove(jobId);
         if (jobs == null) {
@@ -128,7 +133,7 @@
     }
 
     /** Marks a job as durably cancelled; its dependents are cancelled in the next pass. */
-    void onCancelled(String jobId) {
+    private void onCancelled(String jobId) {
         lookupDueMicros.remove(jobId);
         if (dependents.containsKey(jobId)) {
             cancelledDependencies.add(jobId);
@@ -144,12 +149,10 @@
         if (!dependents.containsKey(job.jobId())) {
             return;
         }
-        if (!outcomeKnown) {
-            lookupDueMicros.put(job.jobId(), state.nowMicros());
-        } else if (job.isCancelled()) {
-            onCancelled(job.jobId());
+        if (outcomeKnown) {
+            onOutcome(job);
         } else {
-            onDone(job.jobId(), state.wallMicros());
+            lookupDueMicros.put(job.jobId(), state.nowMicros());
         }
     }
 
--- a/src/main/java/org/woadloom/core/jobs/Job.java
+++ b/src/main/java/org/woadloom/core/jobs/Job.java
@@ -35,6 +35,16 @@
 
     private static final double MICROS_PER_SECOND = 1e6;
 
+    /** How a job ended, as far as the store is known to hold it. */
+    enum DurableOutcome {
+        /** The store is not known to hold an end of the job. */
+        NONE,
+        DONE,
+        CANCELLED,
+        /** The store holds a final state that this leader has not read. */
+        UNREAD
+    }
+
     public final JobDescription description;
 
     /** Resources requested by each task. */
@@ -214,6 +224,20 @@
         cancelledSinceMicros = micros;
     }
 
+    /**
+     * Decides how the job ended for the jobs that depend on it. A cancelled job is not done even if
+     * all of its tasks have completed.
+     */
+    DurableOutcome durableOutcome() {
+        if (persistence.isReplaced()) {
+            return DurableOutcome.UNREAD;
+        }
+        if (cancelled) {
+            return DurableOutcome.CANCELLED;
+        }
+        return persistence.isCompletionDurable() ? DurableOutcome.DONE : DurableOutcome.NONE;
+    }
+
     /** True once the final state is in the store and the job has left the registry. */
     public boolean isRemoved() {
         return finished;
--- a/src/main/java/org/woadloom/core/jobs/JobPersister.java
+++ b/src/main/java/org/woadloom/core/jobs/JobPersister.java
@@ -186,7 +186,7 @@
         boolean isFinalState = job.persistence.isFinalStateInFlight(result.version());
         job.persistence.onWriteConfirmed(result.version(), result.revision());
         job.releaseDurableAttempts();
-        jobs.onWriteAcknowledged(job);
+        state.dependencies().onOutcome(job);
         if (isFinalState) {
             LogEvent event = job.isCancelled() ? LogEvent.JOB_CANCELLED : LogEvent.JOB_DONE;
             state.log(LogEntry.info(event).with("job", job.jobId()));
--- a/src/main/java/org/woadloom/core/jobs/JobRegistry.java
+++ b/src/main/java/org/woadloom/core/jobs/JobRegistry.java
@@ -97,12 +97,12 @@
             // This term wrote that version, so it is durable even if the write got no response.
             persistence.onVersionRead(record.writeSequence());
             job.releaseDurableAttempts();
-            onWriteAcknowledged(job);
         }
         persistence.onRevisionRead(revision);
         if (record.cancelled() && !job.isCancelled()) {
             cancel(job);
         }
+        state.dependencies().onOutcome(job);
         if (isReadResult) {
             // If the write with the unknown outcome was not executed, the record lacks its changes;
             // the next write contains them all.
@@ -230,18 +230,11 @@
         return job;
     }
 
-    /** Unblocks the dependents of a job once the record with all its tasks completed is durable. */
-    void onWriteAcknowledged(Job job) {
-        if (job.persistence.isCompletionDurable()) {
-            state.dependencies().onDone(job.jobId(), state.wallMicros());
-        }
-    }
-
     private void cancel(Job job) {
         state.serviceLevels().recordIfFullyStarted(job);
         job.markCancelledSince(state.cancellationsReadUpToMicros());
         state.log(LogEntry.info(LogEvent.JOB_CANCEL_REQUESTED).with("job", job.jobId()));
-        state.dependencies().onCancelled(job.jobId());
+        state.dependencies().onOutcome(job);
         stopAllAttempts(job);
         if (job.attempts().isEmpty()) {
             job.persistence.requestWrite(PersistenceState.WriteUrgency.IMMEDIATE);
--- a/src/main/java/org/woadloom/core/jobs/PersistenceState.java
+++ b/src/main/java/org/woadloom/core/jobs/PersistenceState.java
@@ -153,7 +153,10 @@
         revision = readRevision;
     }
 
-    /** True once the stored record has all tasks completed. */
+    /**
+     * True once the stored record has all tasks completed. The job may be cancelled nevertheless,
+     * see {@link Job#durableOutcome}.
+     */
     boolean isCompletionDurable() {
         return readAsComplete
                 || (completionVersion != NO_VERSION && durableVersion >= completionVersion);
--- a/src/test/java/org/woadloom/core/jobs/DependencyGraphTest.java
+++ b/src/test/java/org/woadloom/core/jobs/DependencyGraphTest.java
@@ -10,12 +10,18 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.woadloom.core.LeaderFixture;
 import org.woadloom.core.Scheduler;
 import org.woadloom.core.SchedulerAction;
 import org.woadloom.core.SchedulerEvent;
+import org.woadloom.core.SchedulerFixture;
 import org.woadloom.core.SchedulerSettings;
 import org.woadloom.protocol.JobDescription;
 import org.woadloom.protocol.MalformedMessageException;
+import org.woadloom.protocol.TaskId;
+import org.woadloom.protocol.TaskStatus;
 import org.woadloom.settings.OperatorSettings;
 import org.woadloom.settings.Team;
 import org.woadloom.store.JobRecord;
@@ -37,6 +43,9 @@
                             3_000_000,
                             OperatorSettings.defaults()));
     private long now = 1_000_000;
+    private final SchedulerFixture fixture = new SchedulerFixture();
+    private final JobRegistry registry = new JobRegistry(fixture.state);
+    private final JobPersister persister = new JobPersister(fixture.state, registry);
 
     private static JobRecord record(String jobId, String... dependencies)
             throws MalformedMessageException {
@@ -142,6 +151,73 @@
         assertEquals(0, scheduler.blockedJobCount());
     }
 
+    /** Guards against starting a dependent of a cancelled job whose tasks have all completed. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void cancelsADependentThatArrivesWithTheEndOfItsCancelledDependency(boolean dependentFirst)
+            throws MalformedMessageException {
+        JobRecord cancelled = record("j-1").withCancellation();
+        cancelled.completedTasks().set(0);
+        assertEquals(Set.of("j-1"), cancelledJobIds(acquireLeadership(cancelled)));
+        SchedulerEvent dependent = new SchedulerEvent.JobStored(record("j-2", "j-1"), 9);
+        SchedulerEvent ended =
+                new SchedulerEvent.JobWriteCompleted(
+                        "j-1", 1, SchedulerEvent.WriteOutcome.WRITTEN, 11);
+        Set<String> written =
+                cancelledJobIds(dependentFirst ? step(dependent, ended) : step(ended, dependent));
+        written.addAll(
+                cancelledJobIds(
+                        step(
+                                new SchedulerEvent.DependencyResolved(
+                                        "j-1", SchedulerEvent.DependencyState.CANCELLED, 0))));
+        assertEquals(Set.of("j-2"), written);
+    }
+
+    /** Guards against taking a completion that was never stored for the end of a cancelled job. */
+    @Test
+    void cancelsADependentOfAJobThatWasCancelledBeforeItsCompletionWasStored()
+            throws MalformedMessageException {
+        LeaderFixture leader = new LeaderFixture(200, List.of(record("j-1")), "host");
+        TaskStatus done =
+                new TaskStatus(
+                        new TaskId("j-1", 0),
+                        1,
+                        TaskStatus.State.EXITED,
+                        TaskStatus.ExitReason.DONE,
+                        false);
+        leader.sendHeartbeat(LeaderFixture.heartbeat("host", 1, 1, 0, done));
+        leader.step(
+                new SchedulerEvent.JobWriteCompleted(
+                        "j-1", 1, SchedulerEvent.WriteOutcome.CONFLICT, 0));
+        leader.step(new SchedulerEvent.JobStored(record("j-1").withCancellation(), 200));
+        leader.advance(LeaderFixture.SECOND);
+        leader.step(
+                new SchedulerEvent.JobStored(record("j-2", "j-1"), 201),
+                new SchedulerEvent.JobWriteCompleted(
+                        "j-1", 2, SchedulerEvent.WriteOutcome.WRITTEN, 202));
+        assertEquals(Set.of("j-1", "j-2"), cancelledJobIds(leader.actions));
+    }
+
+    /** Guards against cancelling a dependent of a job whose final state nobody has read. */
+    @Test
+    void looksUpAReplacedDependencyBeforeDecidingOnItsDependent() throws MalformedMessageException {
+        Job job = fixture.job("j-1", 1, 1, 1);
+        TaskAttempt attempt = new TaskAttempt(job, 0, fixture.machine("host", "a"), 1, 0, 0);
+        attempt.onRecovered();
+        job.addAttempt(attempt);
+        job.persistence.startRead(0);
+        registry.onRecordNotFound("j-1");
+        registry.onRecordChanged(record("j-2", "j-1"), 10);
+        fixture.state.dependencies().processChanges();
+        Job dependent = fixture.state.jobs().get("j-2");
+        assertTrue(dependent.isBlocked() && !dependent.isCancelled());
+        job.removeAttempt(attempt);
+        job.persistence.requestWrite(PersistenceState.WriteUrgency.TASK_ENDED);
+        persister.emitDueRequests();
+        fixture.state.dependencies().processChanges();
+        assertEquals(List.of("j-1"), lookedUpJobIds(fixture.actions()));
+    }
+
     /**
      * Guards against a stack overflow on a chain of thousands of dependent jobs, and against
      * exceeding the store's write rate when all of them are cancelled.
