Dependencies of a submission are looked up through the shared reads

Callers saw: a submission that names 500 jobs, accepted by other nodes, was answered 503 after 4.3 s (test: one idle node, 150 requests a second to the store). Retried, each node learned some of them.

Cause: the same as for polls: DependencyValidator read each named job by its key, one request a job, though all open jobs are in the cache and ended ones are read by pages.

Why this works: it asks CoalescingJobReader, which answers open jobs from the round and reads the others by pages; "never accepted" still rests on the store's record and final state.

The test failed before.

--- a/src/main/java/org/woadloom/http/DependencyValidator.java
+++ b/src/main/java/org/woadloom/http/DependencyValidator.java
@@ -4,7 +4,8 @@
 import java.util.function.Consumer;
 import org.woadloom.protocol.ErrorText;
 import org.woadloom.protocol.JobDescription;
-import org.woadloom.reads.JobLookup;
+import org.woadloom.reads.CoalescingJobReader;
+import org.woadloom.reads.CoalescingJobReader.JobView;
 import org.woadloom.reads.JobReader;
 import org.woadloom.store.RecordFormat;
 
@@ -30,15 +31,18 @@
     }
 
     private final JobReader reader;
+    private final CoalescingJobReader sharedReader;
     private final JobApi.RecordPolicy recordPolicy;
 
-    DependencyValidator(JobReader reader, JobApi.RecordPolicy recordPolicy) {
+    DependencyValidator(
+            JobReader reader, CoalescingJobReader sharedReader, JobApi.RecordPolicy recordPolicy) {
         this.reader = reader;
+        this.sharedReader = sharedReader;
         this.recordPolicy = recordPolicy;
     }
 
     /** Calls back with empty if all dependencies are valid, else with the refusal. */
-    void check(JobDescription job, long deadlineMicros, Consumer<Optional<Refusal>> result) {
+    void check(JobDescription job, Consumer<Optional<Refusal>> result) {
         if (job.dependencies().isEmpty()) {
             result.accept(Optional.empty());
             return;
@@ -61,27 +65,27 @@
         }
         CombinedResult combined = new CombinedResult(job.dependencies().size(), result);
         for (String jobId : job.dependencies()) {
-            lookUp(jobId, deadlineMicros, dependency -> combined.add(jobId, dependency));
+            read(jobId, dependency -> combined.add(jobId, dependency));
         }
     }
 
-    private void lookUp(String jobId, long deadlineMicros, Consumer<Dependency> result) {
+    private void read(String jobId, Consumer<Dependency> result) {
         Boolean service = reader.isAcceptedService(jobId);
         if (service != null) {
             result.accept(service ? Dependency.SERVICE : Dependency.VALID);
             return;
         }
-        reader.lookUp(jobId, deadlineMicros, lookup -> result.accept(classify(lookup)));
+        sharedReader.read(jobId, job -> result.accept(classify(job)));
     }
 
-    private static Dependency classify(JobLookup lookup) {
-        if (lookup == null) {
+    private static Dependency classify(JobView job) {
+        if (job == null) {
             return Dependency.UNDETERMINED;
         }
-        if (lookup.status() == null) {
+        if (job.status() == null) {
             return Dependency.NEVER_ACCEPTED;
         }
-        return lookup.isService() ? Dependency.SERVICE : Dependency.VALID;
+        return job.isService() ? Dependency.SERVICE : Dependency.VALID;
     }
 
     private static Refusal invalid(String jobId, String problem) {
--- a/src/main/java/org/woadloom/http/SubmissionHandler.java
+++ b/src/main/java/org/woadloom/http/SubmissionHandler.java
@@ -67,7 +67,7 @@
         this.confirmer = confirmer;
         this.writes = writes;
         this.changeListener = changeListener;
-        dependencies = new DependencyValidator(reader, recordPolicy);
+        dependencies = new DependencyValidator(reader, sharedReader, recordPolicy);
     }
 
     void submit(byte[] body, Consumer<JobAnswer> answer) {
@@ -111,7 +111,6 @@
             JobDescription job, long deadlineMicros, Consumer<JobAnswer> answer) {
         dependencies.check(
                 job,
-                deadlineMicros,
                 refusal -> {
                     if (refusal.isPresent()) {
                         refuseUnlessAccepted(job.jobId(), refusal.get(), deadlineMicros, answer);
--- a/src/main/java/org/woadloom/reads/CoalescingJobReader.java
+++ b/src/main/java/org/woadloom/reads/CoalescingJobReader.java
@@ -66,8 +66,9 @@
      *
      * @param status null for a job that was never accepted
      * @param dependencies ids of the jobs that it still waits for
+     * @param isService whether the job is known to be a service
      */
-    public record JobView(JobStatus status, List<String> dependencies) {
+    public record JobView(JobStatus status, List<String> dependencies, boolean isService) {
         /** Returns true for a job that is cancelled. */
         boolean isCancelled() {
             return status != null && status.isCancelled();
@@ -77,7 +78,8 @@
             boolean isWaiting = lookup.record() != null && !lookup.record().cancelled();
             return new JobView(
                     lookup.status(),
-                    isWaiting ? lookup.record().description().dependencies() : List.of());
+                    isWaiting ? lookup.record().description().dependencies() : List.of(),
+                    lookup.isService());
         }
     }
 
--- a/src/test/java/org/woadloom/sim/UserWritesTest.java
+++ b/src/test/java/org/woadloom/sim/UserWritesTest.java
@@ -16,6 +16,7 @@
 import org.woadloom.http.Response;
 import org.woadloom.net.HttpTransport;
 import org.woadloom.protocol.Cbor;
+import org.woadloom.protocol.JobDescription;
 import org.woadloom.protocol.MachineType;
 import org.woadloom.protocol.MalformedMessageException;
 import org.woadloom.settings.ServiceSettings;
@@ -183,6 +184,18 @@
         return LoopbackNode.job(String.format("j-%06d", number), "team");
     }
 
+    private void put(String jobId, Map<String, Object> record) {
+        store.handle(
+                "POST",
+                "/txn",
+                Map.of(
+                        "if",
+                        List.of(),
+                        "then",
+                        List.of(Map.of("put", "job/" + jobId, "value", record))),
+                (status, answer) -> assertEquals(200, status));
+    }
+
     private List<UserCall> submitJobs(int count) {
         List<UserCall> calls = new ArrayList<>();
         for (int i = 0; i < count; i++) {
@@ -261,15 +274,7 @@
         sim.run(sim.now() + 100_000);
         Map<String, Object> record = new LinkedHashMap<>(store.value("job/" + submitted.jobId));
         record.put("running", 1L);
-        store.handle(
-                "POST",
-                "/txn",
-                Map.of(
-                        "if",
-                        List.of(),
-                        "then",
-                        List.of(Map.of("put", "job/" + submitted.jobId, "value", record))),
-                (status, answer) -> assertEquals(200, status));
+        put(submitted.jobId, record);
         unansweredPercent = 0;
         sim.run(sim.now() + 3_000_000);
         assertTrue(cancelled.succeededWithin(1_000_000), cancelled.tookMicros + " us");
@@ -344,15 +349,7 @@
         sim.run(sim.now() + 3_500);
         Map<String, Object> record = new LinkedHashMap<>(store.value("job/" + first.jobId));
         record.put("cancelled", true);
-        store.handle(
-                "POST",
-                "/txn",
-                Map.of(
-                        "if",
-                        List.of(),
-                        "then",
-                        List.of(Map.of("put", "job/" + first.jobId, "value", record))),
-                (status, answer) -> assertEquals(200, status));
+        put(first.jobId, record);
         UserCall joined = submit(job(1));
         sim.run(sim.now() + 1_000_000);
         assertEquals(201, first.response.status());
@@ -379,6 +376,22 @@
         assertTrue(repeated.succeededWithin(5_000_000), repeated.tookMicros + " us");
     }
 
+    /** Guards against a read by key for each dependency that another node accepted. */
+    @Test
+    void submissionWithHundredsOfDependenciesIsAnsweredInTime() throws MalformedMessageException {
+        List<String> dependencies = new ArrayList<>();
+        for (int i = 1; i <= 500; i++) {
+            JobRecord record = JobRecord.accepted(JobDescription.parse(job(i)), 1);
+            dependencies.add(record.description().jobId());
+            put(dependencies.get(i - 1), record.toMap(RecordFormat.COMPACT));
+        }
+        Map<String, Object> job = job(0);
+        job.put("awaits", dependencies);
+        UserCall submitted = submit(job);
+        sim.run(sim.now() + 6_000_000);
+        assertTrue(submitted.succeededWithin(5_000_000), submitted.tookMicros + " us");
+    }
+
     /**
      * A write without an answer, and requests that joined it, are answered before the user's
      * timeout.
