A leader passes priorities and deadlines along each dependency once

What was seen: the leader's step that takes in a chain of 12,000 waiting jobs, each with a deadline, took 33.0 s (test, on 8 cores without limit; controllers have a fraction of one). Agents wait 4 s for an answer, and the leader's own lease runs out meanwhile. The step is repeated whenever a dependent job arrives or a dependency is done.

Why this works: a job passes its values on after all of its dependents have passed on theirs, counted by dependents.

--- a/src/main/java/org/woadloom/core/jobs/DependencyGraph.java
+++ b/src/main/java/org/woadloom/core/jobs/DependencyGraph.java
@@ -257,41 +257,34 @@
     /**
      * Passes priorities and deadlines on from dependents to dependencies: a job inherits the
      * highest priority of its dependents, and the earliest deadline that leaves each of them its
-     * estimated runtime.
+     * estimated runtime. A job passes on what it inherits after all of its dependents have done so,
+     * so each dependency is followed once.
      */
     private void propagatePriorities() {
         Map<String, Priority> priorities = new HashMap<>();
         Map<String, Long> deadlines = new HashMap<>();
-        ArrayDeque<Job> queue = new ArrayDeque<>(unfinishedDependencies.keySet());
+        Map<String, Integer> pendingDependents = new HashMap<>();
+        ArrayDeque<Job> queue = new ArrayDeque<>();
+        for (Job job : unfinishedDependencies.keySet()) {
+            Set<Job> waiting = dependents.get(job.jobId());
+            if (waiting == null) {
+                queue.add(job);
+            } else {
+                pendingDependents.put(job.jobId(), waiting.size());
+            }
+        }
         while (!queue.isEmpty()) {
             Job job = queue.poll();
-            Priority inherited = priorities.get(job.jobId());
-            Priority priority =
-                    inherited != null && inherited.compareTo(job.description.priority()) > 0
-                            ? inherited
-                            : job.description.priority();
-            long deadline =
-                    Math.min(
-                            job.ownDeadlineMicros(),
-                            deadlines.getOrDefault(job.jobId(), Long.MAX_VALUE));
+            Priority own = job.description.priority();
+            Priority priority = higherOf(own, priorities.getOrDefault(job.jobId(), own));
             long latestStart =
-                    deadline == Long.MAX_VALUE
-                            ? deadline
-                            : deadline - (long) (job.description.estimatedRuntimeSeconds() * 1e6);
+                    latestStartMicros(job, deadlines.getOrDefault(job.jobId(), Long.MAX_VALUE));
             for (String dependency : unfinishedDependencies.get(job)) {
-                boolean raisesPriority =
-                        priorities.get(dependency) == null
-                                || priorities.get(dependency).compareTo(priority) < 0;
-                boolean advancesDeadline =
-                        deadlines.getOrDefault(dependency, Long.MAX_VALUE) > latestStart;
-                if (!raisesPriority && !advancesDeadline) {
-                    continue;
-                }
-                priorities.merge(dependency, priority, (a, b) -> a.compareTo(b) >= 0 ? a : b);
+                priorities.merge(dependency, priority, DependencyGraph::higherOf);
                 deadlines.merge(dependency, latestStart, Math::min);
-                Job dependencyJob = state.jobs().get(dependency);
-                if (dependencyJob != null && unfinishedDependencies.containsKey(dependencyJob)) {
-                    queue.add(dependencyJob);
+                Integer pending = pendingDependents.computeIfPresent(dependency, (id, n) -> n - 1);
+                if (pending != null && pending == 0) {
+                    queue.add(state.jobs().get(dependency));
                 }
             }
         }
@@ -302,4 +295,16 @@
         }
         state.requestPlacement();
     }
+
+    private static Priority higherOf(Priority one, Priority other) {
+        return one.compareTo(other) >= 0 ? one : other;
+    }
+
+    /** The latest start that leaves a job its estimated runtime before the earlier deadline. */
+    private static long latestStartMicros(Job job, long inheritedDeadlineMicros) {
+        long deadline = Math.min(job.ownDeadlineMicros(), inheritedDeadlineMicros);
+        return deadline == Long.MAX_VALUE
+                ? deadline
+                : deadline - (long) (job.description.estimatedRuntimeSeconds() * 1e6);
+    }
 }
--- a/src/test/java/org/woadloom/core/jobs/DependencyGraphTest.java
+++ b/src/test/java/org/woadloom/core/jobs/DependencyGraphTest.java
@@ -1,8 +1,10 @@
 package org.woadloom.core.jobs;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTimeout;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -30,6 +32,9 @@
 class DependencyGraphTest {
     private static final double WRITES_PER_SECOND = 40;
 
+    /** Agents wait so long for the answer to a heartbeat. */
+    private static final Duration AGENT_TIMEOUT = Duration.ofSeconds(4);
+
     private final Scheduler scheduler =
             new Scheduler(
                     new SchedulerSettings(
@@ -49,6 +54,11 @@
 
     private static JobRecord record(String jobId, String... dependencies)
             throws MalformedMessageException {
+        return JobRecord.accepted(
+                JobDescription.parse(description(jobId, List.of(dependencies))), 0);
+    }
+
+    private static Map<String, Object> description(String jobId, List<String> dependencies) {
         Map<String, Object> map = new LinkedHashMap<>();
         map.put("uid", jobId);
         map.put("jobclass", "work");
@@ -59,8 +69,8 @@
         map.put("vcpus", 1.0);
         map.put("ramGb", 1.0);
         map.put("bundle", "img");
-        map.put("awaits", List.of(dependencies));
-        return JobRecord.accepted(JobDescription.parse(map), 0);
+        map.put("awaits", dependencies);
+        return map;
     }
 
     private List<SchedulerAction> step(SchedulerEvent... events) {
@@ -218,6 +228,21 @@
         assertEquals(List.of("j-1"), lookedUpJobIds(fixture.actions()));
     }
 
+    /** Guards against a leader that stalls because each deadline walks down the whole chain. */
+    @Test
+    void passesDeadlinesDownALongChainBeforeAgentsGiveUp() throws MalformedMessageException {
+        int length = 12_000;
+        JobRecord[] chain = new JobRecord[length];
+        for (int i = 0; i < length; i++) {
+            Map<String, Object> job =
+                    description("j-" + i, i == 0 ? List.of() : List.of("j-" + (i - 1)));
+            job.put("runtimeS", 10.0);
+            job.put("dueS", 1_000_000.0);
+            chain[i] = JobRecord.accepted(JobDescription.parse(job), 0);
+        }
+        assertTimeout(AGENT_TIMEOUT, () -> acquireLeadership(chain));
+    }
+
     /**
      * Guards against a stack overflow on a chain of thousands of dependent jobs, and against
      * exceeding the store's write rate when all of them are cancelled.
