JobView stands in a file of its own; answers with a confirmed status in one place

SubmissionHandler and CancellationHandler turned a confirmed status into an answer each in its own copy; StatusConfirmer does it for both.

--- a/src/main/java/org/woadloom/http/CancellationHandler.java
+++ b/src/main/java/org/woadloom/http/CancellationHandler.java
@@ -1,14 +1,12 @@
 package org.woadloom.http;
 
 import java.util.List;
-import java.util.Optional;
 import java.util.function.Consumer;
 import org.woadloom.net.EventLoop;
 import org.woadloom.protocol.JobDescription;
 import org.woadloom.protocol.JobStatus;
 import org.woadloom.reads.JobLookup;
 import org.woadloom.reads.JobReader;
-import org.woadloom.reads.QueryRefusal;
 import org.woadloom.store.FinalRecord;
 import org.woadloom.store.JobRecord;
 import org.woadloom.store.RecordFormat;
@@ -191,14 +189,7 @@
 
         private void answerEnded(String status) {
             JobStatus ended = JobStatus.withoutCounts(jobId, status);
-            confirmer.confirm(
-                    ended,
-                    deadlineMicros - loop.nowMicros(),
-                    refusal -> answer.accept(refusalOrFound(refusal, ended)));
-        }
-
-        private static JobAnswer refusalOrFound(Optional<QueryRefusal> refusal, JobStatus status) {
-            return refusal.isPresent() ? Refusal.of(refusal.get()) : new JobAnswer.Found(status);
+            confirmer.answer(ended, deadlineMicros - loop.nowMicros(), answer);
         }
     }
 }
--- a/src/main/java/org/woadloom/http/DependencyValidator.java
+++ b/src/main/java/org/woadloom/http/DependencyValidator.java
@@ -5,8 +5,8 @@
 import org.woadloom.protocol.ErrorText;
 import org.woadloom.protocol.JobDescription;
 import org.woadloom.reads.CoalescingJobReader;
-import org.woadloom.reads.CoalescingJobReader.JobView;
 import org.woadloom.reads.JobReader;
+import org.woadloom.reads.JobView;
 import org.woadloom.store.RecordFormat;
 
 /**
--- a/src/main/java/org/woadloom/http/StatusConfirmer.java
+++ b/src/main/java/org/woadloom/http/StatusConfirmer.java
@@ -35,4 +35,16 @@
                                         ? Optional.empty()
                                         : Optional.of(QueryRefusal.CANCELLATION_UNCONFIRMED)));
     }
+
+    /** Answers with the status once it may be reported, else with a refusal. */
+    void answer(JobStatus status, long timeoutMicros, Consumer<JobAnswer> answer) {
+        confirm(
+                status,
+                timeoutMicros,
+                reason ->
+                        answer.accept(
+                                reason.isPresent()
+                                        ? Refusal.of(reason.get())
+                                        : new JobAnswer.Found(status)));
+    }
 }
--- a/src/main/java/org/woadloom/http/SubmissionHandler.java
+++ b/src/main/java/org/woadloom/http/SubmissionHandler.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.function.Consumer;
 import org.woadloom.net.EventLoop;
 import org.woadloom.protocol.Cbor;
@@ -10,10 +9,9 @@
 import org.woadloom.protocol.JobStatus;
 import org.woadloom.protocol.MalformedMessageException;
 import org.woadloom.reads.CoalescingJobReader;
-import org.woadloom.reads.CoalescingJobReader.JobView;
 import org.woadloom.reads.JobLookup;
 import org.woadloom.reads.JobReader;
-import org.woadloom.reads.QueryRefusal;
+import org.woadloom.reads.JobView;
 import org.woadloom.reads.QueryResult;
 import org.woadloom.store.JobRecord;
 import org.woadloom.store.RecordFormat;
@@ -157,14 +155,7 @@
 
     private void answerConfirmed(
             JobStatus status, long deadlineMicros, Consumer<JobAnswer> answer) {
-        confirmer.confirm(
-                status,
-                deadlineMicros - loop.nowMicros(),
-                refusal -> answer.accept(refusalOrFound(refusal, status)));
-    }
-
-    private static JobAnswer refusalOrFound(Optional<QueryRefusal> refusal, JobStatus status) {
-        return refusal.isPresent() ? Refusal.of(refusal.get()) : new JobAnswer.Found(status);
+        confirmer.answer(status, deadlineMicros - loop.nowMicros(), answer);
     }
 
     /** Joins the write of an equal submission that is queued or in flight, as a user's retry is. */
--- a/src/main/java/org/woadloom/reads/CoalescingJobReader.java
+++ b/src/main/java/org/woadloom/reads/CoalescingJobReader.java
@@ -8,7 +8,6 @@
 import org.woadloom.invariant.Invariants;
 import org.woadloom.invariant.Invariants.Invariant;
 import org.woadloom.net.EventLoop;
-import org.woadloom.protocol.JobStatus;
 import org.woadloom.settings.ServiceSettings;
 import org.woadloom.store.StoreClient;
 import org.woadloom.store.StoreClient.Event;
@@ -61,28 +60,6 @@
     /** Earlier than any time of the loop's clock, but safe from overflow in subtractions. */
     private static final long NEVER_MICROS = Long.MIN_VALUE / 2;
 
-    /**
-     * State of a job as reported to a user.
-     *
-     * @param status null for a job that was never accepted
-     * @param dependencies ids of the jobs that it still waits for
-     * @param isService whether the job is known to be a service
-     */
-    public record JobView(JobStatus status, List<String> dependencies, boolean isService) {
-        /** Returns true for a job that is cancelled. */
-        boolean isCancelled() {
-            return status != null && status.isCancelled();
-        }
-
-        public static JobView of(JobLookup lookup) {
-            boolean isWaiting = lookup.record() != null && !lookup.record().cancelled();
-            return new JobView(
-                    lookup.status(),
-                    isWaiting ? lookup.record().description().dependencies() : List.of(),
-                    lookup.isService());
-        }
-    }
-
     /**
      * A query for a job.
      *
--- a/src/main/java/org/woadloom/reads/QueryResult.java
+++ b/src/main/java/org/woadloom/reads/QueryResult.java
@@ -1,7 +1,5 @@
 package org.woadloom.reads;
 
-import org.woadloom.reads.CoalescingJobReader.JobView;
-
 /** Result of a query for a job. */
 public sealed interface QueryResult {
     /** The job was read, or the store confirmed that it does not exist. */
--- a/src/main/java/org/woadloom/reads/RecentJobs.java
+++ b/src/main/java/org/woadloom/reads/RecentJobs.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import org.woadloom.net.EventLoop;
-import org.woadloom.reads.CoalescingJobReader.JobView;
 import org.woadloom.store.StoreClient;
 import org.woadloom.store.StoreClient.Entry;
 import org.woadloom.store.StoreClient.Event;
--- a/src/test/java/org/woadloom/sim/CoalescingJobReaderTest.java
+++ b/src/test/java/org/woadloom/sim/CoalescingJobReaderTest.java
@@ -23,6 +23,7 @@
 import org.woadloom.protocol.MalformedMessageException;
 import org.woadloom.reads.CoalescingJobReader;
 import org.woadloom.reads.JobReader;
+import org.woadloom.reads.JobView;
 import org.woadloom.settings.ServiceSettings;
 import org.woadloom.store.JobRecord;
 import org.woadloom.store.RecordFormat;
@@ -150,7 +151,7 @@
     }
 
     private JobStatus query(int node, String jobId) {
-        CoalescingJobReader.JobView[] result = {null};
+        JobView[] result = {null};
         jobReaders.get(node).read(jobId, answer -> result[0] = answer);
         run(2_000_000);
         return result[0] == null ? null : result[0].status();
