--- a/src/test/java/org/woadloom/core/LeaderFixture.java
+++ b/src/test/java/org/woadloom/core/LeaderFixture.java
@@ -43,6 +43,11 @@
      * @param limit the CPU limit of the team
      */
     public LeaderFixture(double limit, List<JobRecord> jobs, String... hosts) {
+        this(TERM, limit, jobs, hosts);
+    }
+
+    /** Starts the given term with records of these jobs and machines. */
+    public LeaderFixture(long term, double limit, List<JobRecord> jobs, String... hosts) {
         scheduler =
                 new Scheduler(
                         new SchedulerSettings(
@@ -67,7 +72,7 @@
                 new SchedulerEvent.StoreLimitsChanged(
                         8192, RecordFormat.COMPACT, 100, false, false),
                 new SchedulerEvent.MachineTypesRead(List.of(TYPE)),
-                new SchedulerEvent.LeadershipAcquired(TERM, stored, machines, nowMicros));
+                new SchedulerEvent.LeadershipAcquired(term, stored, machines, nowMicros));
     }
 
     /** Runs a step with these events, then further steps with the outcomes of its store writes. */
@@ -88,6 +93,13 @@
                                     write.record().writeSequence(),
                                     SchedulerEvent.WriteOutcome.WRITTEN,
                                     ++lastRevision));
+                } else if (action instanceof SchedulerAction.WriteFinalState write) {
+                    completions.add(
+                            new SchedulerEvent.JobWriteCompleted(
+                                    write.record().status().jobId(),
+                                    write.version(),
+                                    SchedulerEvent.WriteOutcome.WRITTEN,
+                                    ++lastRevision));
                 } else if (action instanceof SchedulerAction.WriteMachine write) {
                     completions.add(
                             new SchedulerEvent.MachineWriteCompleted(
@@ -111,21 +123,39 @@
     }
 
     public void submit(String jobId, int taskCount) {
-        step(
-                new SchedulerEvent.JobStored(
-                        JobRecord.accepted(job(jobId, taskCount), nowMicros), ++lastRevision));
+        submit(job(jobId, taskCount));
+    }
+
+    public void submit(JobDescription job) {
+        step(new SchedulerEvent.JobStored(JobRecord.accepted(job, nowMicros), ++lastRevision));
+    }
+
+    /** Cancels a job whose record the leader has written. */
+    public void cancel(String jobId) {
+        JobRecord stored =
+                actionsOfType(SchedulerAction.WriteJob.class).stream()
+                        .map(SchedulerAction.WriteJob::record)
+                        .filter(record -> record.description().jobId().equals(jobId))
+                        .reduce((earlier, later) -> later)
+                        .orElseThrow();
+        step(new SchedulerEvent.JobStored(stored.withCancellation(), ++lastRevision));
     }
 
     /** A batch job with tasks of 8 CPUs each. */
     public static JobDescription job(String jobId, int taskCount) {
+        return job(jobId, taskCount, "high", 8);
+    }
+
+    /** A batch job of the given priority with tasks of so many CPUs each. */
+    public static JobDescription job(String jobId, int taskCount, String priority, double cpus) {
         Map<String, Object> map = new LinkedHashMap<>();
         map.put("uid", jobId);
         map.put("jobclass", "work");
         map.put("crew", "team");
         map.put("shape", "batch");
-        map.put("rank", "high");
+        map.put("rank", priority);
         map.put("shards", (long) taskCount);
-        map.put("vcpus", 8.0);
+        map.put("vcpus", cpus);
         map.put("ramGb", 1.0);
         map.put("bundle", "img");
         try {
