Simulation: agents get executed direct commands once more

The simulated agent lists each attempt by itself, as the protocol says: an exited attempt stays listed beside the next one of its task until it is acknowledged, where the next one used to replace it. A copy of a start is refused with "busy" where another attempt of the task is there. A start by the leader in that place still ends the run as ran_twice: that check is as it was.

--- a/src/test/java/org/woadloom/sim/ClusterSimulation.java
+++ b/src/test/java/org/woadloom/sim/ClusterSimulation.java
@@ -51,6 +51,7 @@
     private final Member[] members = new Member[NODES];
     final Scenario scenario;
     final SimulatedUsers users;
+    final CommandCopies commandCopies;
     final RandomFaults randomFaults;
 
     /** Two zones that can't reach each other, or none. Both can reach the store and the cloud. */
@@ -415,6 +416,7 @@
         delayedHeartbeats = new DelayedHeartbeats(this, faultRandom);
         store = new SimulatedStore(loop, settings.store());
         cloud = new SimulatedCloud(this, faultRandom);
+        commandCopies = new CommandCopies(this, faultRandom);
         if (scenario.flaw() == Scenario.Flaw.ASSUMES_UPGRADE_COMPLETE) {
             store.handle(
                     "POST",
@@ -837,6 +839,9 @@
                 @SuppressWarnings("unchecked")
                 Map<String, Object> report = (Map<String, Object>) answer[1];
                 if (!agent.isOutboundBlocked()) {
+                    if ((Integer) answer[0] == 200) {
+                        commandCopies.onExecuted(agent, body);
+                    }
                     respond.answer((Integer) answer[0], report);
                 }
                 return;
--- a/src/test/java/org/woadloom/sim/Scenario.java
+++ b/src/test/java/org/woadloom/sim/Scenario.java
@@ -68,7 +68,9 @@
         /** Agents never start tasks of jobs whose ID ends with 7. */
         ONE_JOB_NEVER_STARTED,
         /** Nodes write to the store without conditions on revisions. */
-        UNCONDITIONAL_WRITES
+        UNCONDITIONAL_WRITES,
+        /** Agents execute copies of direct commands whatever fencing token they carry. */
+        COPIES_PASS_WITH_OLD_TOKENS
     }
 
     List<String> zoneNames() {
--- a/src/test/java/org/woadloom/sim/SimulatedAgent.java
+++ b/src/test/java/org/woadloom/sim/SimulatedAgent.java
@@ -1,6 +1,7 @@
 package org.woadloom.sim;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -17,15 +18,27 @@
 final class SimulatedAgent {
     private static final long IMAGE_FETCH_MICROS = 800_000;
 
+    /** Whether a command arrives for the first time, or was executed and answered before. */
+    enum Delivery {
+        ORIGINAL,
+        COPY
+    }
+
+    private record AttemptKey(TaskId task, long attempt) {}
+
     private static final class Task {
         final TaskId id;
         final long attempt;
         String status = "fetching";
         String cause;
 
-        Task(TaskId id, long attempt) {
-            this.id = id;
-            this.attempt = attempt;
+        Task(AttemptKey key) {
+            this.id = key.task();
+            this.attempt = key.attempt();
+        }
+
+        boolean isExited() {
+            return status.equals("exited");
         }
     }
 
@@ -36,7 +49,11 @@
     final boolean spot;
     private final ClusterSimulation cluster;
     private final double cpus;
-    private final Map<TaskId, Task> tasks = new LinkedHashMap<>();
+    private final Map<AttemptKey, Task> tasks = new LinkedHashMap<>();
+
+    /** The attempts that were started in this incarnation, acknowledged ones included. */
+    private final Set<AttemptKey> startedAttempts = new HashSet<>();
+
     private long incarnation = 1;
     private long sequence;
     private long fencingToken;
@@ -157,6 +174,7 @@
                 cluster.invariants.onTaskEnded(task.id, this, false);
             }
             tasks.clear();
+            startedAttempts.clear();
             incarnation++;
             leaseStart = cluster.loop.now();
             hasChanges = true;
@@ -218,7 +236,7 @@
                             hasChanges |= token > fencingToken;
                             fencingToken = token;
                             leaseStart = Math.max(leaseStart, sent);
-                            execute((List<?>) answer.get("orders"));
+                            execute((List<?>) answer.get("orders"), Delivery.ORIGINAL);
                         }
                     } else if (status == 421
                             && answer.get("overseer") instanceof String leader
@@ -246,7 +264,7 @@
     boolean canStartTask(JobDescription job) {
         double used = 0;
         for (Task task : tasks.values()) {
-            used += task.status.equals("exited") ? 0 : cluster.observed.job(task.id.jobId()).cpus();
+            used += task.isExited() ? 0 : cluster.observed.job(task.id.jobId()).cpus();
         }
         return !failed
                 && !isHung()
@@ -262,43 +280,45 @@
                 && (!spot || job.spotAllowed());
     }
 
-    /** Handles a direct command, which may be late. Returns the HTTP status and a heartbeat. */
+    /** Handles a direct command that arrives for the first time, maybe late. */
     Object[] handleDirectCommand(Map<String, Object> body) {
+        return handleDirectCommand(body, Delivery.ORIGINAL);
+    }
+
+    /** Handles a direct command, which may be late. Returns the HTTP status and a heartbeat. */
+    Object[] handleDirectCommand(Map<String, Object> body, Delivery delivery) {
         checkLease();
         long token = (Long) body.get("epoch");
-        if (token < fencingToken || (Long) body.get("tenure") != incarnation) {
+        boolean acceptsOldToken =
+                delivery == Delivery.COPY
+                        && cluster.isBroken(Scenario.Flaw.COPIES_PASS_WITH_OLD_TOKENS);
+        if (token < fencingToken && !acceptsOldToken || (Long) body.get("tenure") != incarnation) {
             // A heartbeat carries the highest token that the agent has seen. The protocol leaves
             // open
             // whether tokens of rejected commands count; for half of the agents they do.
             fencingToken = host.hashCode() % 2 == 0 ? Math.max(fencingToken, token) : fencingToken;
             return new Object[] {409, heartbeat()};
         }
-        fencingToken = token;
-        execute((List<?>) body.get("orders"));
+        fencingToken = Math.max(fencingToken, token);
+        execute((List<?>) body.get("orders"), delivery);
         return new Object[] {200, heartbeat()};
     }
 
-    private void execute(List<?> commands) {
+    private void execute(List<?> commands, Delivery delivery) {
         for (Object item : commands) {
             Map<?, ?> command = (Map<?, ?>) item;
-            TaskId id;
-            try {
-                id = TaskId.parse((String) command.get("shard"));
-            } catch (MalformedMessageException e) {
-                throw new IllegalStateException(e);
-            }
-            long attempt = (Long) command.get("try");
-            Task task = tasks.get(id);
+            AttemptKey key = attemptOf(command);
+            Task task = tasks.get(key);
             switch ((String) command.get("verb")) {
-                case "launch" -> launch(id, attempt, task);
+                case "launch" -> launch(key, delivery);
                 case "halt" -> {
-                    if (task != null && task.attempt == attempt && !task.status.equals("exited")) {
+                    if (task != null && !task.isExited()) {
                         exit(task, "halted");
                     }
                 }
                 case "clear" -> {
-                    if (task != null && task.attempt == attempt && task.status.equals("exited")) {
-                        tasks.remove(id);
+                    if (task != null && task.isExited()) {
+                        tasks.remove(key);
                     }
                 }
                 default -> throw new IllegalStateException();
@@ -307,11 +327,20 @@
         }
     }
 
+    private static AttemptKey attemptOf(Map<?, ?> command) {
+        try {
+            return new AttemptKey(
+                    TaskId.parse((String) command.get("shard")), (Long) command.get("try"));
+        } catch (MalformedMessageException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     /** CPUs that are not held by a task. */
     double freeCpus() {
         double free = cpus;
         for (Task task : tasks.values()) {
-            free -= task.status.equals("exited") ? 0 : cluster.observed.job(task.id.jobId()).cpus();
+            free -= task.isExited() ? 0 : cluster.observed.job(task.id.jobId()).cpus();
         }
         return free;
     }
@@ -321,13 +350,14 @@
         double held = 0;
         for (Task task : tasks.values()) {
             JobDescription job = cluster.observed.job(task.id.jobId());
-            held += !task.status.equals("exited") && job.team().equals(team) ? job.cpus() : 0;
+            held += !task.isExited() && job.team().equals(team) ? job.cpus() : 0;
         }
         return held;
     }
 
-    private void launch(TaskId id, long attempt, Task present) {
-        if (present != null && present.attempt == attempt
+    private void launch(AttemptKey key, Delivery delivery) {
+        TaskId id = key.task();
+        if (tasks.containsKey(key)
                 || cluster.isBroken(Scenario.Flaw.ONE_JOB_NEVER_STARTED)
                         && id.jobId().endsWith("7")) {
             return;
@@ -338,27 +368,20 @@
                     ProtocolRule.ACCEPTED_UNFIT,
                     id + " is launched on " + host + ", but its job was never validly submitted");
         }
-        Task task = new Task(id, attempt);
-        if (present != null && !present.status.equals("exited")) {
-            // This agent can't report a rejected attempt next to a running one, so the leader must
-            // not launch a second attempt.
-            throw new InvariantViolation(
-                    ProtocolRule.RAN_TWICE,
-                    id
-                            + " attempt "
-                            + attempt
-                            + " is launched on "
-                            + host
-                            + ", where attempt "
-                            + present.attempt
-                            + " is "
-                            + present.status);
+        if (!startedAttempts.add(key)) {
+            cluster.commandCopies.attemptsStartedAgain++;
+        }
+        Task present = liveAttempt(id);
+        Task task = new Task(key);
+        tasks.put(key, task);
+        if (present != null) {
+            refuseSecondAttempt(task, present, delivery);
+            return;
         }
-        tasks.put(id, task);
         double used = 0;
         for (Task other : tasks.values()) {
             used +=
-                    other.status.equals("exited") || other == task
+                    other.isExited() || other == task
                             ? 0
                             : cluster.observed.job(other.id.jobId()).cpus();
         }
@@ -367,19 +390,45 @@
             task.cause = "no_room";
             return;
         }
-        cluster.loop.after(IMAGE_FETCH_MICROS, () -> run(task, job));
+        cluster.loop.after(IMAGE_FETCH_MICROS, () -> run(key, task, job));
+    }
+
+    private Task liveAttempt(TaskId id) {
+        return tasks.values().stream()
+                .filter(task -> task.id.equals(id) && !task.isExited())
+                .findFirst()
+                .orElse(null);
+    }
+
+    /** The leader must not start a second attempt beside a first; the network may repeat one. */
+    private void refuseSecondAttempt(Task task, Task present, Delivery delivery) {
+        if (delivery == Delivery.ORIGINAL) {
+            throw new InvariantViolation(
+                    ProtocolRule.RAN_TWICE,
+                    task.id
+                            + " attempt "
+                            + task.attempt
+                            + " is launched on "
+                            + host
+                            + ", where attempt "
+                            + present.attempt
+                            + " is "
+                            + present.status);
+        }
+        task.status = "exited";
+        task.cause = "busy";
     }
 
-    private void run(Task task, JobDescription job) {
-        if (failed || tasks.get(task.id) != task || !task.status.equals("fetching")) {
+    private void run(AttemptKey key, Task task, JobDescription job) {
+        if (failed || tasks.get(key) != task || !task.status.equals("fetching")) {
             return;
         }
         if (isHung()) {
-            cluster.loop.at(hungUntilMicros, () -> run(task, job));
+            cluster.loop.at(hungUntilMicros, () -> run(key, task, job));
             return;
         }
         checkLease();
-        if (tasks.get(task.id) != task) {
+        if (tasks.get(key) != task) {
             return;
         }
         if (cluster.observed.isDone(task.id)) {
@@ -391,24 +440,38 @@
         task.status = "running";
         hasChanges = true;
         if (!job.isService()) {
-            cluster.loop.after((long) (job.estimatedRuntimeSeconds() * 1e6), () -> complete(task));
+            cluster.loop.after(
+                    (long) (job.estimatedRuntimeSeconds() * 1e6), () -> complete(key, task));
         }
     }
 
-    private void complete(Task task) {
-        if (failed || tasks.get(task.id) != task || !task.status.equals("running")) {
+    private void complete(AttemptKey key, Task task) {
+        if (failed || tasks.get(key) != task || !task.status.equals("running")) {
             return;
         }
         if (isHung()) {
-            cluster.loop.at(hungUntilMicros, () -> complete(task));
+            cluster.loop.at(hungUntilMicros, () -> complete(key, task));
             return;
         }
         checkLease();
-        if (tasks.get(task.id) == task && task.status.equals("running")) {
+        if (tasks.get(key) == task && task.status.equals("running")) {
             exit(task, "done");
         }
     }
 
+    /** Ends a running task with an error. Returns false if none is running. */
+    boolean failRunningTask() {
+        Task running =
+                tasks.values().stream()
+                        .filter(task -> task.status.equals("running"))
+                        .findFirst()
+                        .orElse(null);
+        if (running != null) {
+            exit(running, "error");
+        }
+        return running != null;
+    }
+
     private void exit(Task task, String cause) {
         task.status = "exited";
         task.cause = cause;
@@ -423,5 +486,6 @@
             cluster.invariants.onTaskEnded(task.id, this, false);
         }
         tasks.clear();
+        startedAttempts.clear();
     }
 }
