--- a/src/test/java/org/woadloom/core/LeaderFixture.java
+++ b/src/test/java/org/woadloom/core/LeaderFixture.java
@@ -17,7 +17,7 @@
 
 /**
  * A complete scheduler that is the leader, with agent leases of 10 s and heartbeats every 1.5 s.
- * Every write to the store succeeds immediately.
+ * Every write of a record succeeds immediately.
  */
 public final class LeaderFixture {
     public static final long TERM = 5;
@@ -28,6 +28,10 @@
     private final Scheduler scheduler;
     public long nowMicros = 100 * SECOND;
     public final List<SchedulerAction> actions = new ArrayList<>();
+
+    /** Whether writes of final states succeed, too; otherwise they are never answered. */
+    public boolean storesFinalStates;
+
     private long lastRevision = 100;
     private long lastRequestId;
     private long maxMachinesExaminedInStep;
@@ -93,7 +97,8 @@
                                     write.record().writeSequence(),
                                     SchedulerEvent.WriteOutcome.WRITTEN,
                                     ++lastRevision));
-                } else if (action instanceof SchedulerAction.WriteFinalState write) {
+                } else if (storesFinalStates
+                        && action instanceof SchedulerAction.WriteFinalState write) {
                     completions.add(
                             new SchedulerEvent.JobWriteCompleted(
                                     write.record().status().jobId(),
--- a/src/test/java/org/woadloom/core/machines/LeaderWithAgents.java
+++ b/src/test/java/org/woadloom/core/machines/LeaderWithAgents.java
@@ -15,6 +15,10 @@
     final ProtocolAgent first = new ProtocolAgent(leader, "host-000001");
     final ProtocolAgent second = new ProtocolAgent(leader, "host-000002");
 
+    LeaderWithAgents() {
+        leader.storesFinalStates = true;
+    }
+
     Stream<ProtocolAgent> agents() {
         return Stream.of(first, second);
     }
