An exit is acknowledged only where its start command can't take effect again

Cause: a check in one path and not in another. A direct command is void once its agent has seen a higher token. Starts without an answer raised the token, as they may be executed late; answered ones did not, as every command can be repeated while the agent knows the attempt. The acknowledgement of an exit makes it forget the attempt, and was given without asking whether an earlier message could still start it.

Fix: core.machines.ExitAcknowledgements, the one place, acknowledges an exit only in an answer whose token is higher than that of every direct command that started the attempt; where none has been issued, that answer raises it. From then on the agent refuses the command, whoever sent it, and whether it was answered. It works without a delay and without a list at the agent. Starts in heartbeats' answers are taken once and need nothing. One raise covers all starts before it. A token that only an answer raises causes no command of its own. Each answer is checked once more before it leaves (ACKNOWLEDGED_START_FENCED).

Log events task_start_sent, exits_acknowledged, fencing_token_raised (debug); gauges woadloom.exits.acknowledged, .exits.held, .tokens.raised, .direct.refused.

--- a/src/main/java/org/woadloom/core/LeaderTerm.java
+++ b/src/main/java/org/woadloom/core/LeaderTerm.java
@@ -147,6 +147,14 @@
         return agentProber.unreachableCount();
     }
 
+    HeartbeatHandler heartbeatHandler() {
+        return heartbeatHandler;
+    }
+
+    long refusedCommandCount() {
+        return directCommands.refusedCount();
+    }
+
     int reservationCount() {
         return reservations.count();
     }
--- a/src/main/java/org/woadloom/core/LogEvent.java
+++ b/src/main/java/org/woadloom/core/LogEvent.java
@@ -43,8 +43,14 @@
     TASKS_PENDING,
     /** A task attempt certainly no longer runs and has not completed. */
     TASK_LOST,
+    /** A direct command that starts a task attempt is sent, under the logged fencing token. */
+    TASK_START_SENT,
     /** A task attempt ended on its machine. */
     TASK_EXITED,
+    /** The answer to a heartbeat acknowledges exits; others wait for a direct command. */
+    EXITS_ACKNOWLEDGED,
+    /** The agent must refuse earlier direct commands before exits can be acknowledged. */
+    FENCING_TOKEN_RAISED,
     /** A machine refused to start a task. */
     TASK_REFUSED,
     /**
--- a/src/main/java/org/woadloom/core/Scheduler.java
+++ b/src/main/java/org/woadloom/core/Scheduler.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.ToIntFunction;
+import java.util.function.ToLongFunction;
 import org.woadloom.protocol.MachineType;
 import org.woadloom.store.RecordFormat;
 
@@ -46,6 +47,26 @@
         return countInTerm(LeaderTerm::unreachableMachineCount);
     }
 
+    /** How many exits this term has acknowledged to agents. */
+    public long acknowledgedExitCount() {
+        return sumInTerm(term -> term.heartbeatHandler().acknowledgedExitCount());
+    }
+
+    /** How often in this term the acknowledgement of an exit waited for a direct command. */
+    public long heldExitCount() {
+        return sumInTerm(term -> term.heartbeatHandler().heldExitCount());
+    }
+
+    /** How often in this term an agent's fencing token was raised to acknowledge exits. */
+    public long raisedTokenCount() {
+        return sumInTerm(term -> term.heartbeatHandler().raisedTokenCount());
+    }
+
+    /** How many direct commands agents have refused in this term. */
+    public long refusedCommandCount() {
+        return sumInTerm(LeaderTerm::refusedCommandCount);
+    }
+
     /** How many reservations of machine resources exist. */
     public int reservationCount() {
         return countInTerm(LeaderTerm::reservationCount);
@@ -56,7 +77,7 @@
      * machine counts once for each job it is examined for.
      */
     public long machinesExamined() {
-        return leaderTerm == null ? 0 : leaderTerm.machinesExamined();
+        return sumInTerm(LeaderTerm::machinesExamined);
     }
 
     /** How many records a feature rollout still has to rewrite. */
@@ -69,6 +90,10 @@
         return countInTerm(LeaderTerm::unreadableRecords);
     }
 
+    private long sumInTerm(ToLongFunction<LeaderTerm> sum) {
+        return leaderTerm == null ? 0 : sum.applyAsLong(leaderTerm);
+    }
+
     private int countInTerm(ToIntFunction<LeaderTerm> count) {
         return leaderTerm == null ? 0 : count.applyAsInt(leaderTerm);
     }
--- a/src/main/java/org/woadloom/core/jobs/TaskAttempt.java
+++ b/src/main/java/org/woadloom/core/jobs/TaskAttempt.java
@@ -82,7 +82,7 @@
     public final long placedMicros;
     private final TaskId taskId;
     private Stage stage = Stage.PLANNED;
-    private long startToken;
+    private long directStartToken;
     private long startHeartbeatSequence;
     private TaskStatus.State reportedState;
     private long lastListingMessage;
@@ -129,17 +129,16 @@
     /** Records that the start was sent as a direct command with the given fencing token. */
     public void onStartSent(long token) {
         stage = Stage.SENT;
-        startToken = token;
+        directStartToken = token;
     }
 
     /**
      * Records that the start was sent in the response to the heartbeat with the given sequence
      * number.
      */
-    public void onStartSentInResponse(long sequence, long token) {
+    public void onStartSentInResponse(long sequence) {
         stage = Stage.SENT_IN_RESPONSE;
         startHeartbeatSequence = sequence;
-        startToken = token;
     }
 
     /** Records that the direct command with the start got no response. */
@@ -152,9 +151,11 @@
         stage = Stage.CONFIRMED;
     }
 
-    /** The fencing token of the last start command. */
-    public long startToken() {
-        return startToken;
+    /**
+     * The fencing token of the last direct command that started it; 0 if this leader has sent none.
+     */
+    public long directStartToken() {
+        return directStartToken;
     }
 
     /** The sequence number of the heartbeat whose response last carried the start command. */
--- a/src/main/java/org/woadloom/core/machines/CommandChannel.java
+++ b/src/main/java/org/woadloom/core/machines/CommandChannel.java
@@ -11,6 +11,17 @@
     private long retryAtMicros;
     private boolean tokenRequested;
     private long lastProbeMicros = AgentLiveness.NEVER;
+    private long lastStartToken;
+
+    /** Records that a command with starts is sent under the given fencing token. */
+    void onStartsSent(long fencingToken) {
+        lastStartToken = fencingToken;
+    }
+
+    /** The highest fencing token of a direct command with starts; 0 before the first. */
+    long lastStartToken() {
+        return lastStartToken;
+    }
 
     void onSent(long commandId) {
         inFlight = commandId;
--- a/src/main/java/org/woadloom/core/machines/DirectCommands.java
+++ b/src/main/java/org/woadloom/core/machines/DirectCommands.java
@@ -31,6 +31,7 @@
     private final HeartbeatHandler heartbeats;
     private final TaskLossHandler taskLosses;
     private final Map<Long, InFlightCommand> inFlight = new HashMap<>();
+    private long refusedCount;
 
     /** A request in flight: the attempts that it starts, and when it was sent. */
     private record InFlightCommand(List<TaskAttempt> starts, long sentMicros) {}
@@ -69,8 +70,8 @@
         }
         long id = state.newCommandId();
         machine.commands.onSent(id);
-        for (TaskAttempt attempt : starts) {
-            attempt.onStartSent(machine.liveness.fencingToken());
+        if (!starts.isEmpty()) {
+            onStartsSent(machine, starts);
         }
         inFlight.put(id, new InFlightCommand(starts, state.nowMicros()));
         state.emit(
@@ -83,6 +84,21 @@
                         commands));
     }
 
+    private void onStartsSent(Machine machine, List<TaskAttempt> starts) {
+        long token = machine.liveness.fencingToken();
+        machine.commands.onStartsSent(token);
+        for (TaskAttempt attempt : starts) {
+            attempt.onStartSent(token);
+            state.log(
+                    LogEntry.debug(LogEvent.TASK_START_SENT)
+                            .with("task", attempt.taskId())
+                            .with("attempt", attempt.attemptNumber)
+                            .with("machine", machine.host)
+                            .with("token", token)
+                            .with("record_version", attempt.recordVersion));
+        }
+    }
+
     /**
      * Collects the commands that are due. Returns false if they do not all fit into one request.
      */
@@ -138,11 +154,19 @@
         }
     }
 
+    /** Number of direct commands that agents refused in this term. */
+    public long refusedCount() {
+        return refusedCount;
+    }
+
     /** The agent executed nothing, so the starts can be sent again unchanged. */
     private void onNotExecuted(
             Machine machine,
             InFlightCommand command,
             SchedulerEvent.DirectCommandCompleted result) {
+        if (result.status() == STATUS_CONFLICT) {
+            refusedCount++;
+        }
         command.starts.forEach(this::returnToReady);
         if (result.heartbeat() != null) {
             heartbeats.apply(machine, result.heartbeat(), command.sentMicros);
--- a/src/main/java/org/woadloom/core/machines/HeartbeatCommands.java
+++ b/src/main/java/org/woadloom/core/machines/HeartbeatCommands.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.woadloom.core.SchedulerState;
-import org.woadloom.core.jobs.Job;
 import org.woadloom.core.jobs.TaskAttempt;
 import org.woadloom.core.jobs.TaskAttempt.Stage;
 import org.woadloom.protocol.Heartbeat;
@@ -25,28 +24,21 @@
 
     /**
      * Returns the commands that answer a heartbeat. The heartbeat must have been applied before.
+     * May raise the machine's fencing token.
      */
     List<TaskCommand> commandsFor(Machine machine, Heartbeat heartbeat) {
-        List<TaskCommand> commands = new ArrayList<>();
+        List<TaskCommand> commands =
+                new ArrayList<>(acknowledgements.acknowledge(machine, heartbeat));
         for (TaskStatus task : heartbeat.tasks()) {
-            addCommandFor(machine, task, commands);
+            if (task.state() != TaskStatus.State.EXITED
+                    && AttemptReconciler.findAttempt(state, machine, task) == null) {
+                commands.add(TaskCommand.stop(task.task(), task.attempt(), 0));
+            }
         }
-        acknowledgements.retainListed(machine, heartbeat);
         addAttemptCommands(machine, heartbeat, commands);
         return commands;
     }
 
-    private void addCommandFor(Machine machine, TaskStatus task, List<TaskCommand> commands) {
-        if (task.state() == TaskStatus.State.EXITED) {
-            Job job = state.jobs().get(task.task().jobId());
-            if (acknowledgements.isDue(machine, task, job)) {
-                commands.add(TaskCommand.acknowledgeExit(task.task(), task.attempt()));
-            }
-        } else if (AttemptReconciler.findAttempt(state, machine, task) == null) {
-            commands.add(TaskCommand.stop(task.task(), task.attempt(), 0));
-        }
-    }
-
     /**
      * Every answer repeats the stops that are due, because an answer without them would renew the
      * lease of a task that has to end. Starts are sent this way only while direct commands fail.
@@ -68,8 +60,7 @@
                                 attempt.attemptNumber,
                                 attempt.gracePeriodSeconds()));
             } else if (attempt.stage() == Stage.READY && sendsStarts && !attempt.isStopping()) {
-                attempt.onStartSentInResponse(
-                        heartbeat.sequence(), machine.liveness.fencingToken());
+                attempt.onStartSentInResponse(heartbeat.sequence());
                 commands.add(TaskCommand.start(attempt.taskId(), attempt.attemptNumber));
             }
         }
--- a/src/main/java/org/woadloom/core/machines/HeartbeatHandler.java
+++ b/src/main/java/org/woadloom/core/machines/HeartbeatHandler.java
@@ -19,7 +19,7 @@
     private final SchedulerState state;
     private final MachineRegistry machines;
     private final TaskLossHandler taskLosses;
-    private final ExitAcknowledgements acknowledgements = new ExitAcknowledgements();
+    private final ExitAcknowledgements acknowledgements;
     private final AttemptReconciler reconciler;
     private final HeartbeatCommands commands;
 
@@ -28,6 +28,7 @@
         this.state = state;
         this.machines = machines;
         this.taskLosses = taskLosses;
+        acknowledgements = new ExitAcknowledgements(state);
         TaskExitHandler exits = new TaskExitHandler(state, taskLosses, acknowledgements);
         reconciler = new AttemptReconciler(state, taskLosses, exits);
         commands = new HeartbeatCommands(state, acknowledgements);
@@ -48,17 +49,47 @@
         }
         machine.onLeaseRenewed();
         MessageAge age = apply(machine, heartbeat, AgentLiveness.NEVER);
-        List<TaskCommand> answer =
-                age == MessageAge.DUPLICATE ? List.of() : commands.commandsFor(machine, heartbeat);
+        if (age == MessageAge.DUPLICATE) {
+            answer(event, machine, List.of());
+            return;
+        }
+        requestOutstandingToken(machine, age);
+        answer(event, machine, commands.commandsFor(machine, heartbeat));
+    }
+
+    /** A token that only the answer raises is no reason to send it in a command of its own. */
+    private static void requestOutstandingToken(Machine machine, MessageAge age) {
         if (age == MessageAge.POSSIBLY_DELAYED) {
             machine.liveness.requireAcknowledgement();
         }
-        if (age != MessageAge.DUPLICATE && !machine.liveness.hasAcknowledgedToken()) {
+        if (!machine.liveness.hasAcknowledgedToken()) {
             machine.requestToken();
         }
+    }
+
+    private void answer(
+            SchedulerEvent.HeartbeatReceived event, Machine machine, List<TaskCommand> answer) {
+        long token = machine.liveness.issueToken(state.nowMicros());
         state.emit(
                 new SchedulerAction.AnswerHeartbeat(
-                        event.requestId(), machine.liveness.issueToken(state.nowMicros()), answer));
+                        event.requestId(),
+                        token,
+                        acknowledgements.checked(machine, answer, token)));
+    }
+
+    /** Acknowledgements of exits sent in this term. */
+    public long acknowledgedExitCount() {
+        return acknowledgements.acknowledgedCount();
+    }
+
+    /** How often in this term an exit waited for a direct command to complete. */
+    public long heldExitCount() {
+        return acknowledgements.heldCount();
+    }
+
+    /** How often in this term a fencing token was raised to acknowledge exits. */
+    public long raisedTokenCount() {
+        return acknowledgements.raisedTokenCount();
     }
 
     private Machine findOrCreateMachine(Heartbeat heartbeat) {
--- a/src/main/java/org/woadloom/core/machines/LossProof.java
+++ b/src/main/java/org/woadloom/core/machines/LossProof.java
@@ -48,7 +48,9 @@
             case CONFIRMED -> NO_LONGER_LISTED;
                 // From now on the agent refuses the token under which the start was sent.
             case UNANSWERED ->
-                    heartbeat.fencingToken() > attempt.startToken() ? START_NEVER_ARRIVED : NONE;
+                    heartbeat.fencingToken() > attempt.directStartToken()
+                            ? START_NEVER_ARRIVED
+                            : NONE;
                 // An agent has one heartbeat in flight at a time. Before the agent sent a later
                 // heartbeat than the one whose response carried the start, the agent had therefore
                 // executed or dropped that response.
--- a/src/main/java/org/woadloom/core/machines/TaskExitHandler.java
+++ b/src/main/java/org/woadloom/core/machines/TaskExitHandler.java
@@ -64,7 +64,8 @@
         if (job.isComplete()) {
             job.persistence.requestWrite(PersistenceState.WriteUrgency.IMMEDIATE);
         }
-        acknowledgements.add(machine, task, job.persistence.nextVersion());
+        acknowledgements.add(
+                machine, task, job.persistence.nextVersion(), attempt.directStartToken());
     }
 
     private void applyExitReason(TaskAttempt attempt, TaskStatus task) {
@@ -140,16 +141,17 @@
         if (job == null || acknowledgements.contains(machine, task)) {
             return;
         }
+        long startToken = machine.commands.lastStartToken();
         if (completesTask(job, task)) {
             stopOtherAttempt(job, task.task().index());
             job.persistence.requestWrite(
                     job.isComplete()
                             ? PersistenceState.WriteUrgency.IMMEDIATE
                             : PersistenceState.WriteUrgency.TASK_ENDED);
-            acknowledgements.add(machine, task, job.persistence.nextVersion());
+            acknowledgements.add(machine, task, job.persistence.nextVersion(), startToken);
         } else {
-            // There is nothing to write, so the exit can be acknowledged at once.
-            acknowledgements.add(machine, task, 0);
+            // There is no outcome to write.
+            acknowledgements.add(machine, task, 0, startToken);
         }
     }
 
--- a/src/main/java/org/woadloom/invariant/Invariants.java
+++ b/src/main/java/org/woadloom/invariant/Invariants.java
@@ -31,7 +31,12 @@
          */
         ACCEPTED_JOB_KNOWN,
         /** Each page of a list begins after the end of the previous page. */
-        LIST_PAGES_ADVANCE
+        LIST_PAGES_ADVANCE,
+        /**
+         * The exit of a task attempt is acknowledged only under a higher fencing token than any
+         * direct command that started the attempt.
+         */
+        ACKNOWLEDGED_START_FENCED
     }
 
     /** Thrown on a violation if {@link #THROW_PROPERTY} is set. */
--- a/src/main/java/org/woadloom/node/NodeGauges.java
+++ b/src/main/java/org/woadloom/node/NodeGauges.java
@@ -60,6 +60,10 @@
         metrics.gauge("woadloom.jobs", scheduler, Scheduler::openJobCount);
         metrics.gauge("woadloom.machines", scheduler, Scheduler::machineCount);
         metrics.gauge("woadloom.machines.deaf", scheduler, Scheduler::unreachableMachineCount);
+        metrics.gauge("woadloom.exits.acknowledged", scheduler, Scheduler::acknowledgedExitCount);
+        metrics.gauge("woadloom.exits.held", scheduler, Scheduler::heldExitCount);
+        metrics.gauge("woadloom.tokens.raised", scheduler, Scheduler::raisedTokenCount);
+        metrics.gauge("woadloom.direct.refused", scheduler, Scheduler::refusedCommandCount);
         metrics.gauge("woadloom.core.machines_examined", scheduler, Scheduler::machinesExamined);
         metrics.gauge("woadloom.jobs.waiting", scheduler, Scheduler::blockedJobCount);
         metrics.gauge("woadloom.rollout.number", rollout, RolloutParticipant::recordNumber);
--- a/src/test/java/org/woadloom/sim/FaultCombinationsTest.java
+++ b/src/test/java/org/woadloom/sim/FaultCombinationsTest.java
@@ -119,6 +119,23 @@
                 return () -> cluster.delayedCommandsExecuted;
             }
         },
+        /**
+         * Direct commands arrive again after they were executed and answered, while tasks fail and
+         * the leader ends and is back within a second.
+         */
+        COPIED_COMMANDS {
+            @Override
+            IntSupplier inject(ClusterSimulation cluster) {
+                cluster.commandCopies.repeat(60, 25_000_000);
+                for (long later = 1_000_000; later < 25_000_000; later += 2_000_000) {
+                    cluster.loop.after(
+                            later, () -> cluster.withRandomAgent(SimulatedAgent::failRunningTask));
+                }
+                cluster.loop.after(8_000_000, () -> cluster.restartLeader(300_000));
+                return () ->
+                        Math.min(cluster.commandCopies.executed, cluster.commandCopies.refused);
+            }
+        },
         /**
          * The leader ends while machines hang or receive nothing, so that the new leader can't
          * reach them.
@@ -339,7 +356,10 @@
         "LEADER_ENDS_WITH_PARTLY_DONE_JOBS, LATE_WRITES",
         "READS_AT_ALL_NODES, LOST_ANSWERS",
         "READS_AT_ALL_NODES, REPEATED_LEADER_CHANGES",
-        "FOUR_JOBS_PER_SECOND, LATE_WRITES"
+        "FOUR_JOBS_PER_SECOND, LATE_WRITES",
+        "COPIED_COMMANDS, LEADER_ENDS_WITH_UNREACHABLE_MACHINES",
+        "COPIED_COMMANDS, TEN_LEADER_CHANGES",
+        "COPIED_COMMANDS, DELAYED_DUPLICATE_REPORTS"
     })
     void invariantsHoldUnderTwoFaultsAtOnce(Fault one, Fault other) {
         for (long seed : Seeds.firstOrConfigured(SEEDS)) {
--- a/src/test/java/org/woadloom/sim/RandomFaults.java
+++ b/src/test/java/org/woadloom/sim/RandomFaults.java
@@ -19,6 +19,7 @@
     /** Injects a random fault every 2 to 11 s until the given time. */
     void startUntil(long until) {
         cluster.duplicateHeartbeatPercent = Math.max(cluster.duplicateHeartbeatPercent, 3);
+        cluster.commandCopies.percent = Math.max(cluster.commandCopies.percent, 3);
         cluster.observed.faultFreeFromMicros = until + 60_000_000;
         cluster.loop.after(
                 2_000_000 + random.nextInt(9_000_000),
@@ -31,7 +32,7 @@
     }
 
     private void injectFault() {
-        switch (random.nextInt(36)) {
+        switch (random.nextInt(37)) {
             case 25 -> cluster.pollAfterChanges(5_000_000 + random.nextInt(25_000_000));
             case 26 -> cluster.sendUnusualRequests(5_000_000 + random.nextInt(25_000_000));
             case 27 -> cluster.loseAnswers(5 + random.nextInt(40), random.nextInt(40_000_000));
@@ -61,6 +62,7 @@
                     cluster.restartAfter(node, away * 1_000_000L + random.nextInt(1_000_000));
                 }
             }
+            case 36 -> cluster.commandCopies.repeat(50, random.nextInt(40_000_000));
             case 24 -> cluster.delayWrites(5 + random.nextInt(40), random.nextInt(40_000_000));
             case 22, 23 ->
                     cluster.refuseLeaderThenStoreOutage(
--- a/src/test/java/org/woadloom/sim/RandomScenariosTest.java
+++ b/src/test/java/org/woadloom/sim/RandomScenariosTest.java
@@ -37,6 +37,22 @@
         assertTrue(
                 cluster.observed.taskStarts > 50,
                 "only " + cluster.observed.taskStarts + " starts");
+        assertEquals(0, cluster.commandCopies.attemptsStartedAgain);
+        assertEquals(List.of(), cluster.unfinishedJobs());
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void invariantsHoldWhenExecutedCommandsArriveAgain(long seed) {
+        ClusterSimulation cluster = new ClusterSimulation(seed, Scenario.DEFAULT);
+        cluster.commandCopies.repeat(50, FAULTS_END);
+        cluster.users.submitUntil(FAULTS_END);
+        cluster.randomFaults.startUntil(FAULTS_END);
+        cluster.run(FAULTS_END + FAULT_FREE_MICROS);
+        assertTrue(
+                cluster.commandCopies.executed + cluster.commandCopies.refused > 20,
+                "only few copies arrived");
+        assertEquals(0, cluster.commandCopies.attemptsStartedAgain);
         assertEquals(List.of(), cluster.unfinishedJobs());
     }
 
