An answer to a forwarded heartbeat of the previous process answers no other

Cause: a check in one path and not in another. The relay through the store draws random ids, so that a restarted node takes no answer to its predecessor for its own. Heartbeats forwarded over the peer link had ids that began at 1 in every process.

Fix: a process begins at a random number and counts up.

--- a/src/main/java/org/woadloom/node/ForwardedHeartbeats.java
+++ b/src/main/java/org/woadloom/node/ForwardedHeartbeats.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Random;
 import java.util.function.Consumer;
 import org.woadloom.http.Response;
 import org.woadloom.net.EventLoop;
@@ -13,15 +14,23 @@
     /** Less than the four seconds for which an agent waits for an answer. */
     private static final long ANSWER_TIMEOUT_MICROS = 3_500_000;
 
+    /** Leaves room for counting up without a change of sign. */
+    private static final int FREE_ID_BITS = 2;
+
     private final EventLoop loop;
     private final PeerTransport transport;
     private final Map<Long, Consumer<Response>> answersById = new HashMap<>();
     private long lastId;
     private long refusedHeartbeats;
 
-    ForwardedHeartbeats(EventLoop loop, PeerTransport transport) {
+    /**
+     * @param random draws the first id, so that a restarted node never mistakes the leader's answer
+     *     to its predecessor for one to itself
+     */
+    ForwardedHeartbeats(EventLoop loop, PeerTransport transport, Random random) {
         this.loop = loop;
         this.transport = transport;
+        this.lastId = random.nextLong() >>> FREE_ID_BITS;
     }
 
     /** Has the leader decide a heartbeat; answers 503 if the leader does not answer in time. */
--- a/src/main/java/org/woadloom/node/Node.java
+++ b/src/main/java/org/woadloom/node/Node.java
@@ -119,7 +119,8 @@
                         settings.peers().stream().map(Peer::label).toList(),
                         election,
                         rollout,
-                        new PeerInbox());
+                        new PeerInbox(),
+                        random);
         cancellationConfirmer =
                 new CancellationConfirmer(
                         loop,
--- a/src/main/java/org/woadloom/node/PeerTracker.java
+++ b/src/main/java/org/woadloom/node/PeerTracker.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -74,14 +75,15 @@
             List<String> labels,
             Election election,
             RolloutParticipant rollout,
-            Inbox inbox) {
+            Inbox inbox,
+            Random random) {
         this.loop = loop;
         this.transport = transport;
         this.labels = labels;
         this.election = election;
         this.rollout = rollout;
         this.inbox = inbox;
-        forwarded = new ForwardedHeartbeats(loop, transport);
+        forwarded = new ForwardedHeartbeats(loop, transport, random);
     }
 
     void start() {
