Soak: executed requests arrive once more on real processes

RequestRepeater, for the time of the new fault requests_repeated, has 60 % of the requests that were executed and answered executed again 0.3 to 15 s later (leases are 10 s), whole and unchanged: direct commands, requests to the store and the cloud that change something, and requests of users and agents. Frames between controllers are not repeated.

The checker started_again objects to an attempt that an agent starts a second time in one incarnation; a forged history shows that it does. 5 % of the tasks fail now, so that tasks move.

--- /dev/null
+++ b/src/test/java/org/woadloom/soak/AttemptStart.java
@@ -0,0 +1,4 @@
+package org.woadloom.soak;
+
+/** A start command that an agent executes for an attempt that it does not list. */
+record AttemptStart(String machine, long incarnation, String taskId, long attempt) {}
--- a/src/test/java/org/woadloom/soak/FaultKind.java
+++ b/src/test/java/org/woadloom/soak/FaultKind.java
@@ -31,5 +31,10 @@
     /** About a quarter of the agents reach no controller, but still receive direct commands. */
     AGENTS_MUTE,
     /** About a quarter of the machines fail, with all their tasks. */
-    AGENTS_DIE
+    AGENTS_DIE,
+    /**
+     * 60 % of the executed requests to agents, store and cloud, of users and of agents to
+     * controllers are executed again up to 15 s later.
+     */
+    REQUESTS_REPEATED
 }
--- a/src/test/java/org/woadloom/soak/RuleChecker.java
+++ b/src/test/java/org/woadloom/soak/RuleChecker.java
@@ -41,6 +41,9 @@
      */
     void onResponse(UserResponse response) {}
 
+    /** Called when an agent executes the start command of an attempt that it does not list. */
+    void onAttemptStarted(AttemptStart start) {}
+
     /** Called when a machine has fetched the image of a task and starts it. */
     void onTaskStarted(TaskStart start) {}
 
--- a/src/test/java/org/woadloom/soak/RuleCheckers.java
+++ b/src/test/java/org/woadloom/soak/RuleCheckers.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** All rule checkers, and the updates of the observed job state that they share. */
 final class RuleCheckers {
@@ -27,6 +29,7 @@
         checkers.add(new CancelledTaskChecker(jobs, cancelMicros, violations));
         checkers.add(new QuotaChecker(jobs, limits, violations));
         checkers.add(new PlacementChecker(jobs, violations));
+        checkers.add(new StartedAgainChecker(jobs, violations));
     }
 
     List<RuleChecker> all() {
@@ -51,6 +54,10 @@
         }
     }
 
+    void onAttemptStarted(AttemptStart start) {
+        checkers.forEach(checker -> checker.onAttemptStarted(start));
+    }
+
     void onTaskStarted(TaskStart start) {
         checkers.forEach(checker -> checker.onTaskStarted(start));
     }
@@ -86,6 +93,23 @@
         }
     }
 
+    /**
+     * Rule {@code started_again}: an agent must not start an attempt again that it has forgotten
+     * because its exit was acknowledged.
+     */
+    static final class StartedAgainChecker extends RuleChecker {
+        private final Set<AttemptStart> starts = new HashSet<>();
+
+        StartedAgainChecker(Map<String, SoakJob> jobs, ViolationLog violations) {
+            super("started_again", jobs, violations);
+        }
+
+        @Override
+        void onAttemptStarted(AttemptStart start) {
+            check(starts.add(start), start.toString());
+        }
+    }
+
     /** Rule {@code invented}: a job that was never submitted must not be found. */
     static final class InventedJobChecker extends RuleChecker {
         InventedJobChecker(Map<String, SoakJob> jobs, ViolationLog violations) {
--- a/src/test/java/org/woadloom/soak/RuleCheckersTest.java
+++ b/src/test/java/org/woadloom/soak/RuleCheckersTest.java
@@ -68,6 +68,16 @@
         assertTrue(checks > 0, "rule " + rule + " counts no checks");
     }
 
+    @Test
+    void attemptThatAnAgentStartsAgainIsDetected() {
+        AttemptStart start = new AttemptStart("host-1", 1, "j-1/0", 7);
+        checkers.onAttemptStarted(start);
+        checkers.onAttemptStarted(new AttemptStart("host-1", 2, "j-1/0", 7));
+        assertEquals(List.of(), violated);
+        checkers.onAttemptStarted(start);
+        assertViolated("started_again");
+    }
+
     @Test
     void correctHistoryHasNoViolations() {
         SoakJob job = acceptedJob();
--- a/src/test/java/org/woadloom/soak/SoakAgent.java
+++ b/src/test/java/org/woadloom/soak/SoakAgent.java
@@ -24,6 +24,7 @@
     private static final long LEASE_CHECK_INTERVAL_MICROS = 100_000;
     private static final int MIN_FETCH_MICROS = 100_000;
     private static final int FETCH_SPREAD_MICROS = 900_000;
+    private static final int FAILURE_PERCENT = 5;
     private static final int CONFLICT = 409;
     private static final int REDIRECT = 421;
 
@@ -36,6 +37,8 @@
         /** The host and port at which agents reach a node. */
         String address(int node);
 
+        void onAttemptStarted(AttemptStart start);
+
         void onTaskStarted(TaskStart start);
 
         void onTaskStopped(String machine, String taskId);
@@ -341,6 +344,8 @@
         if (tasks.containsKey(key)) {
             return;
         }
+        environment.onAttemptStarted(
+                new AttemptStart(machine.name(), incarnation, taskId, attempt));
         int slash = taskId.indexOf('/');
         SoakJob job = environment.job(taskId.substring(0, slash));
         Task task = new Task(taskId, attempt, job == null ? 0 : job.cpus);
@@ -385,8 +390,11 @@
         if (hung) {
             deferredWhileHung.add(() -> completeTask(key, task, job, taskIndex));
         } else if (tasks.get(key) == task && task.cause == null) {
-            job.completedTasks.set(taskIndex);
-            exitTask(task, "done");
+            boolean failed = random.nextInt(100) < FAILURE_PERCENT;
+            if (!failed) {
+                job.completedTasks.set(taskIndex);
+            }
+            exitTask(task, failed ? "error" : "done");
             scheduleChangeReport();
         }
     }
--- a/src/test/java/org/woadloom/soak/SoakReport.java
+++ b/src/test/java/org/woadloom/soak/SoakReport.java
@@ -14,6 +14,7 @@
     private final int acceptedJobs;
     private final double recoverySeconds;
     private final double durationMinutes;
+    private final long repeatedRequests;
 
     SoakReport(
             long seed,
@@ -23,7 +24,8 @@
             List<String> violations,
             int acceptedJobs,
             double recoverySeconds,
-            double durationMinutes) {
+            double durationMinutes,
+            long repeatedRequests) {
         this.seed = seed;
         this.agents = agents;
         faults.forEach(fault -> this.faults.merge(fault.kind(), 1, Integer::sum));
@@ -32,6 +34,7 @@
         this.acceptedJobs = acceptedJobs;
         this.recoverySeconds = recoverySeconds;
         this.durationMinutes = durationMinutes;
+        this.repeatedRequests = repeatedRequests;
     }
 
     List<String> violations() {
@@ -54,7 +57,7 @@
     public String toString() {
         return String.format(
                 "seed %d | agents %d | faults %d %s | jobs %d | checks %s | all answered after %.1f"
-                        + " s | violations %d | minutes %.1f",
+                        + " s | repeated requests %d | violations %d | minutes %.1f",
                 seed,
                 agents,
                 faults.values().stream().mapToInt(count -> count).sum(),
@@ -62,6 +65,7 @@
                 acceptedJobs,
                 checkCounts,
                 recoverySeconds,
+                repeatedRequests,
                 violations.size(),
                 durationMinutes);
     }
--- a/src/test/java/org/woadloom/soak/SoakRun.java
+++ b/src/test/java/org/woadloom/soak/SoakRun.java
@@ -4,6 +4,7 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Methods;
 import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -20,11 +21,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
+import org.woadloom.net.HttpTransport;
 import org.woadloom.net.UndertowTransport;
 import org.woadloom.net.XnioEventLoop;
 import org.woadloom.protocol.Cbor;
 import org.woadloom.protocol.MalformedMessageException;
 import org.woadloom.settings.ServiceSettings;
+import org.woadloom.sim.SimulatedStore;
 import org.woadloom.store.FinalRecord;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -73,6 +76,8 @@
     private final SoakCloud cloud;
     private final SoakUsers users;
     private final SoakNodes nodes;
+    private final RequestRepeater repeater;
+    private final HttpTransport copies;
     private final List<Integer> storePorts = new ArrayList<>();
     private final int cloudPort;
     private final int agentPort;
@@ -102,6 +107,8 @@
         }
         cloudPort = FreePorts.allocate();
         agentPort = FreePorts.allocate();
+        repeater = new RequestRepeater(loop, new Random(seed + 4));
+        copies = new UndertowTransport(loop, ioThread, buffers, USER_CONNECTIONS);
         server = startServer();
         nodes = new SoakNodes(options.program(), directory, storePorts, cloudPort);
         checkers =
@@ -115,7 +122,9 @@
         users =
                 new SoakUsers(
                         loop,
-                        new UndertowTransport(loop, ioThread, buffers, USER_CONNECTIONS),
+                        repeater.repeating(
+                                new UndertowTransport(loop, ioThread, buffers, USER_CONNECTIONS),
+                                copies),
                         new Random(seed + 3),
                         jobs,
                         nodes::address,
@@ -169,7 +178,8 @@
                                 List.copyOf(violations),
                                 (int) jobs.values().stream().filter(SoakJob::isAccepted).count(),
                                 (allAnsweredMicros - faultsEndedMicros) / 1e6,
-                                (loop.nowMicros() - startMicros) / 60e6));
+                                (loop.nowMicros() - startMicros) / 60e6,
+                                repeater.repeatedCount()));
     }
 
     private void addEndedJobs() {
@@ -255,6 +265,7 @@
             case STORE_OUT -> loop.execute(() -> store.setOutage(true));
             case STORE_REFUSES_NODE -> loop.execute(() -> store.refuseNode(fault.node()));
             case STORE_LOSES_ANSWERS -> loop.execute(() -> store.setDropsResponses(true));
+            case REQUESTS_REPEATED -> loop.execute(() -> repeater.setActive(true));
             case AGENTS_HANG -> loop.execute(() -> applyToAgents(fault));
             case AGENTS_MUTE -> loop.execute(() -> applyToAgents(fault));
             case AGENTS_DIE -> loop.execute(() -> applyToAgents(fault));
@@ -294,6 +305,7 @@
             case STORE_OUT -> loop.execute(() -> store.setOutage(false));
             case STORE_REFUSES_NODE -> loop.execute(store::acceptAllNodes);
             case STORE_LOSES_ANSWERS -> loop.execute(() -> store.setDropsResponses(false));
+            case REQUESTS_REPEATED -> loop.execute(() -> repeater.setActive(false));
             case LEADERS_IN_SERIES, RESET_LINKS, AGENTS_HANG, AGENTS_MUTE, AGENTS_DIE -> {}
         }
     }
@@ -388,7 +400,8 @@
                 SoakAgent agent =
                         new SoakAgent(
                                 loop,
-                                new UndertowTransport(loop, ioThread, buffers, 1),
+                                repeater.repeating(
+                                        new UndertowTransport(loop, ioThread, buffers, 1), copies),
                                 agentEnvironment(),
                                 new Random(seed + machine.name().hashCode()),
                                 machine,
@@ -429,6 +442,11 @@
                 return nodes.address(node);
             }
 
+            @Override
+            public void onAttemptStarted(AttemptStart start) {
+                checkers.onAttemptStarted(start);
+            }
+
             @Override
             public void onTaskStarted(TaskStart start) {
                 checkers.onTaskStarted(start);
@@ -490,21 +508,48 @@
             String address = destination.getAddress().getHostAddress() + ":" + port;
             handleAgentRequest(exchange, agentsByAddress.get(address), path, body);
         } else if (port == cloudPort) {
-            cloud.handle(method, path, body, (status, map) -> reply(exchange, status, map));
+            SimulatedStore.Answer ignore = (status, map) -> {};
+            cloud.handle(
+                    method,
+                    path,
+                    body,
+                    replyTo(exchange, () -> cloud.handle(method, path, body, ignore)));
         } else {
             int node = storePorts.indexOf(port);
-            store.handle(node, method, path, body, (status, map) -> reply(exchange, status, map));
+            SimulatedStore.Answer ignore = (status, map) -> {};
+            store.handle(
+                    node,
+                    method,
+                    path,
+                    body,
+                    replyTo(exchange, () -> store.handle(node, method, path, body, ignore)));
         }
     }
 
-    private static void handleAgentRequest(
+    private SimulatedStore.Answer replyTo(HttpServerExchange exchange, Runnable executeAgain) {
+        boolean changesSomething = !exchange.getRequestMethod().equals(Methods.GET);
+        return (status, map) -> {
+            if (changesSomething) {
+                repeater.onAnswered(status, executeAgain);
+            }
+            reply(exchange, status, map);
+        };
+    }
+
+    private void handleAgentRequest(
             HttpServerExchange exchange, SoakAgent agent, String path, Map<String, Object> body) {
         if (agent == null) {
             reply(exchange, UserResponse.NOT_FOUND, Map.of());
         } else if (path.equals("/show")) {
             reply(exchange, UserResponse.OK, agent.status());
         } else {
-            agent.onDirectCommand(body, (status, map) -> reply(exchange, status, map));
+            agent.onDirectCommand(
+                    body,
+                    (status, map) -> {
+                        repeater.onAnswered(
+                                status, () -> agent.onDirectCommand(body, (ignored, report) -> {}));
+                        reply(exchange, status, map);
+                    });
         }
     }
 
--- a/src/test/java/org/woadloom/soak/SoakTest.java
+++ b/src/test/java/org/woadloom/soak/SoakTest.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.util.EnumSet;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -41,14 +42,23 @@
 
     @Test
     void rulesHoldUnderRandomFaultsOfRealProcesses() throws Exception {
+        run(EnumSet.allOf(FaultKind.class));
+    }
+
+    @Test
+    void rulesHoldWhileExecutedRequestsArriveAgainAndLeadersEnd() throws Exception {
+        run(
+                EnumSet.of(
+                        FaultKind.REQUESTS_REPEATED,
+                        FaultKind.LEADERS_IN_SERIES,
+                        FaultKind.KILL_ALL,
+                        FaultKind.AGENTS_HANG));
+    }
+
+    private static void run(Set<FaultKind> faults) throws Exception {
         SoakOptions options =
                 new SoakOptions(
-                        List.of(SEED),
-                        AGENTS,
-                        ENDED_JOBS,
-                        FAULT_SECONDS,
-                        EnumSet.allOf(FaultKind.class),
-                        program());
+                        List.of(SEED), AGENTS, ENDED_JOBS, FAULT_SECONDS, faults, program());
         ByteArrayOutputStream printed = new ByteArrayOutputStream();
         boolean passed =
                 SoakCommand.runSeed(
