FleetLoadGenerator counts raised tokens and refused commands

To count what the fence of acknowledged exits costs, its agents refuse a direct command with too low a token, as the protocol says, and report a higher token at most once in half a lease. It prints heartbeats, raised tokens and refused commands for a machine and minute; the run time of batch tasks is an argument.

--- a/src/test/java/org/woadloom/sim/FleetLoadGenerator.java
+++ b/src/test/java/org/woadloom/sim/FleetLoadGenerator.java
@@ -40,12 +40,17 @@
     private static final int NODES = 3;
     private static final double HEARTBEAT_SECONDS = 4;
     private static final long POLL_INTERVAL_MICROS = 5_000_000;
-    private static final double TASK_SECONDS = 30;
+    private static final double LEASE_SECONDS = 22;
     private static final int BATCH_TASKS = 90;
     private static final int SERVICE_REPLICAS = 6;
 
+    // Positions in the array of counts.
+    private static final int RAISED_TOKENS = 3 + NODES;
+    private static final int REFUSED_COMMANDS = 4 + NODES;
+
     private final int machines;
     private final long measureMicros;
+    private final double taskSeconds;
     private final List<String> nodeJvmOptions;
     private final Random random = new Random(1);
     private final SimulatedEventLoop storeLoop = new SimulatedEventLoop();
@@ -64,13 +69,17 @@
     private final double[] kernelSeconds = new double[NODES];
     private final long[] heartbeatsByNode = new long[NODES];
     private long launches;
+    private long raisedTokens;
+    private long refusedCommands;
     private long firstLaunchMicros = -1;
     private long listedBytes;
     private long polls;
     private long jobs;
 
-    private FleetLoadGenerator(int machines, int seconds, List<String> extra) throws IOException {
+    private FleetLoadGenerator(int machines, int seconds, double taskSeconds, List<String> extra)
+            throws IOException {
         this.machines = machines;
+        this.taskSeconds = taskSeconds;
         this.measureMicros = seconds * 1_000_000L;
         this.nodeJvmOptions = extra;
         XnioWorker agent =
@@ -100,15 +109,16 @@
     }
 
     /**
-     * Arguments: number of machines, seconds to measure, then JVM options for the nodes, in which
-     * NODE is replaced by the label of the node.
+     * Arguments: number of machines, seconds to measure, run time of batch tasks in seconds, then
+     * JVM options for the nodes, in which NODE is replaced by the label of the node.
      */
     public static void main(String[] args) throws Exception {
         FleetLoadGenerator load =
                 new FleetLoadGenerator(
                         Integer.parseInt(args[0]),
                         Integer.parseInt(args[1]),
-                        List.of(args).subList(2, args.length));
+                        Double.parseDouble(args[2]),
+                        List.of(args).subList(3, args.length));
         try {
             load.run();
         } finally {
@@ -187,6 +197,12 @@
                 (now[1] - counts[1]) / seconds,
                 (now[2] - counts[2]) / seconds,
                 (double) jobs);
+        double machineMinutes = agents.size() * seconds / 60;
+        System.out.printf(
+                "a machine and minute: %.2f reports, %.2f tokens raised, %.4f commands refused%n",
+                (now[0] - counts[0]) / machineMinutes,
+                (now[RAISED_TOKENS] - counts[RAISED_TOKENS]) / machineMinutes,
+                (now[REFUSED_COMMANDS] - counts[REFUSED_COMMANDS]) / machineMinutes);
         for (int i = 0; i < NODES; i++) {
             double used = after[i] - before[i];
             long mine = now[3 + i] - counts[3 + i];
@@ -242,12 +258,14 @@
     }
 
     private long[] counts() throws Exception {
-        long[] counts = new long[3 + NODES];
+        long[] counts = new long[5 + NODES];
         CountDownLatch done = new CountDownLatch(1);
         loop.execute(
                 () -> {
                     counts[1] = launches;
                     counts[2] = polls;
+                    counts[RAISED_TOKENS] = raisedTokens;
+                    counts[REFUSED_COMMANDS] = refusedCommands;
                     for (int i = 0; i < NODES; i++) {
                         counts[0] += heartbeatsByNode[i];
                         counts[3 + i] = heartbeatsByNode[i];
@@ -318,7 +336,9 @@
                 + "[deployment.workers]\nreport_s = "
                 + HEARTBEAT_SECONDS
                 + "\n"
-                + "lease_s = 22.0\n"
+                + "lease_s = "
+                + LEASE_SECONDS
+                + "\n"
                 + "cancel_s = 52.0\n"
                 + "[deployment.state]\n"
                 + "rps = 700.0\n"
@@ -353,8 +373,8 @@
 
     private void submitBatchJobs() {
         double tasksAtATime = machines * 2.0;
-        submit("batch", BATCH_TASKS, TASK_SECONDS);
-        double mean = BATCH_TASKS * TASK_SECONDS / tasksAtATime;
+        submit("batch", BATCH_TASKS, taskSeconds);
+        double mean = BATCH_TASKS * taskSeconds / tasksAtATime;
         loop.schedule(
                 (long) (-Math.log(1 - random.nextDouble()) * mean * 1e6), this::submitBatchJobs);
     }
@@ -435,10 +455,11 @@
                                     + exchange.getDestinationAddress()
                                             .getAddress()
                                             .getHostAddress());
-            reply(
-                    exchange,
-                    agent == null ? 400 : 200,
-                    agent == null ? Map.of() : agent.handleDirectCommand(map));
+            if (agent == null) {
+                reply(exchange, 400, Map.of());
+            } else {
+                reply(exchange, agent.executeDirectCommand(map) ? 200 : 409, agent.heartbeat());
+            }
         } else if (path.startsWith("/machine")) {
             reply(
                     exchange,
@@ -558,6 +579,7 @@
         int node = random.nextInt(NODES);
         long sequence;
         long fencingToken;
+        long lastTokenChangeMicros = Long.MIN_VALUE / 2;
         boolean deleted;
         boolean heartbeatInFlight;
         long lastHeartbeatMicros;
@@ -623,8 +645,9 @@
                         heartbeatsByNode[at]++;
                         Map<String, Object> map = decode(answer);
                         if (status == 200) {
-                            fencingToken = Math.max(fencingToken, (Long) map.get("epoch"));
-                            execute((List<?>) map.get("orders"));
+                            if (adoptToken((Long) map.get("epoch"))) {
+                                execute((List<?>) map.get("orders"));
+                            }
                         } else if (status == 421 && map.get("overseer") instanceof String leader) {
                             node = Integer.parseInt(leader.substring(5));
                             scheduleEarlyHeartbeat();
@@ -635,13 +658,39 @@
                     });
         }
 
-        Map<String, Object> handleDirectCommand(Map<String, Object> body) {
-            fencingToken = Math.max(fencingToken, (Long) body.get("epoch"));
+        /** Returns false if the command is refused. */
+        boolean executeDirectCommand(Map<String, Object> body) {
+            if (!adoptToken((Long) body.get("epoch"))) {
+                refusedCommands++;
+                return false;
+            }
             execute((List<?>) body.get("orders"));
-            return heartbeat();
+            return true;
+        }
+
+        /**
+         * Returns false for a token that is too low. A higher one counts as a change at most once
+         * in half of a lease.
+         */
+        private boolean adoptToken(long token) {
+            if (token < fencingToken) {
+                return false;
+            }
+            if (token > fencingToken) {
+                boolean isOfSameTerm =
+                        token >> AgentLiveness.FENCE_BITS
+                                == fencingToken >> AgentLiveness.FENCE_BITS;
+                raisedTokens += isOfSameTerm ? 1 : 0;
+                fencingToken = token;
+                if (loop.nowMicros() - lastTokenChangeMicros > LEASE_SECONDS / 2 * 1e6) {
+                    lastTokenChangeMicros = loop.nowMicros();
+                    scheduleEarlyHeartbeat();
+                }
+            }
+            return true;
         }
 
-        private Map<String, Object> heartbeat() {
+        Map<String, Object> heartbeat() {
             Map<String, Object> map = new LinkedHashMap<>();
             map.put("host", host);
             map.put("addr", address);
@@ -689,7 +738,7 @@
             // Jobs with lower numbers are services, which do not end.
             if (Integer.parseInt(shard.substring(2, 8)) >= machines * 2 / SERVICE_REPLICAS) {
                 loop.schedule(
-                        (long) (TASK_SECONDS * 1e6),
+                        (long) (taskSeconds * 1e6),
                         () -> {
                             if (tasks.get(shard) == task) {
                                 exit(shard, "done");
