--- /dev/null
+++ b/review/standin-2/CaseBehindReservation.java
@@ -0,0 +1,54 @@
+import java.util.Map;
+
+/**
+ * A job that is too large for what is free on the only machine reserves all of it, also what is
+ * free, for as long as it waits. A critical service that fits waits behind it.
+ */
+public final class CaseBehindReservation implements Main.Case {
+    @Override
+    public boolean run(boolean trouble) throws Exception {
+        Main.deploy(Site.whitlock(), Map.of());
+        Worker worker = Main.cloud.existing("office-rack", "savannah", false);
+        Main.cloud.existing("office-rack", "macon", false);
+        for (int i = 0; i < 4; i++) {
+            Main.cloud.existing("branch-box", "macon", false);
+        }
+        Main.awaitService();
+        Job before = CaseFailedOnce.quoteDesk("j-000001").with("shards", 4L);
+        Main.require(Main.users.submit(before) / 100 == 2, "the first service was not accepted");
+        for (double until = Rec.now() + 15; worker.running().size() < 4; Thread.sleep(200)) {
+            Main.require(Rec.now() < until, "the first service did not start");
+        }
+        if (trouble) {
+            Job large =
+                    new Job("j-000002", "repricing-run", "quote-office-1", "batch", "low", 1, 18)
+                            .with("vcpus", 12.0)
+                            .with("ramGb", 12.9)
+                            .with("yard", "savannah");
+            Main.require(Main.users.submit(large) / 100 == 2, "the large job was not accepted");
+            Rec.say("TROUBLE: a job of priority low waits that needs 12 of the 16 CPUs; 8 are free");
+            Thread.sleep(2000);
+        }
+        Job job = CaseFailedOnce.quoteDesk("j-000003");
+        Main.require(Main.users.submit(job) / 100 == 2, "the service was not accepted");
+        double submitted = Rec.now();
+        boolean held = false;
+        while (Rec.now() < submitted + 92 && !held) {
+            Thread.sleep(4000);
+            String status = Main.users.poll(job.uid());
+            held = status.equals("running");
+            Rec.say(
+                    "%.0f s after its submission the critical service of 2 CPUs is %s; %s has %.0f"
+                            + " of %.0f CPUs and %.1f of %.0f GB free and runs %s",
+                    Rec.now() - submitted,
+                    status,
+                    worker.host,
+                    worker.room()[0],
+                    worker.type.cpus(),
+                    worker.room()[1],
+                    worker.type.ramGb(),
+                    worker.running());
+        }
+        return held;
+    }
+}
