--- /dev/null
+++ b/review/standin-2/CaseQuarantine.java
@@ -0,0 +1,48 @@
+import java.util.Map;
+
+/** A machine on which two jobs failed while it was faulty gets no work for two minutes. */
+public final class CaseQuarantine implements Main.Case {
+    @Override
+    public boolean run(boolean trouble) throws Exception {
+        Main.deploy(Site.whitlock(), Map.of());
+        Worker worker = Main.cloud.existing("office-rack", "savannah", false);
+        Main.cloud.existing("office-rack", "macon", false);
+        for (int i = 0; i < 4; i++) {
+            Main.cloud.existing("branch-box", "macon", false);
+        }
+        Main.awaitService();
+        Job before = CaseFailedOnce.quoteDesk("j-000001");
+        Main.require(Main.users.submit(before) / 100 == 2, "the first service was not accepted");
+        for (double until = Rec.now() + 15; worker.running().isEmpty(); Thread.sleep(200)) {
+            Main.require(Rec.now() < until, "the first service did not start");
+        }
+        worker.sick = trouble;
+        Rec.say("TROUBLE begins: %s fails every task that it starts: %s", worker.host, trouble);
+        Main.users.submit(CaseFailedOnce.quoteDesk("j-000002"));
+        Main.users.submit(CaseFailedOnce.quoteDesk("j-000003"));
+        Thread.sleep(2500);
+        worker.sick = false;
+        double over = Rec.now();
+        Rec.say("TROUBLE is over");
+        Thread.sleep(500);
+        Job job = CaseFailedOnce.quoteDesk("j-000004");
+        Main.require(Main.users.submit(job) / 100 == 2, "the service was not accepted");
+        double submitted = Rec.now();
+        boolean held = false;
+        while (Rec.now() < submitted + 91.5 && !held) {
+            Thread.sleep(3000);
+            String status = Main.users.poll(job.uid());
+            held = status.equals("running");
+            Rec.say(
+                    "%.0f s after the trouble a job that never ran on %s is %s; %.0f of %.0f CPUs"
+                            + " are free there, it runs %s",
+                    Rec.now() - over,
+                    worker.host,
+                    status,
+                    worker.room()[0],
+                    worker.type.cpus(),
+                    worker.running());
+        }
+        return held;
+    }
+}
