--- a/review/standin-2/CaseBehindReservation.java
+++ b/review/standin-2/CaseBehindReservation.java
@@ -14,7 +14,7 @@
             Main.cloud.existing("branch-box", "macon", false);
         }
         Main.awaitService();
-        Job before = CaseFailedOnce.quoteDesk("j-000001").with("shards", 4L);
+        Job before = Job.quoteDesk("j-000001").with("shards", 4L);
         Main.require(Main.users.submit(before) / 100 == 2, "the first service was not accepted");
         for (double until = Rec.now() + 15; worker.running().size() < 4; Thread.sleep(200)) {
             Main.require(Rec.now() < until, "the first service did not start");
@@ -29,7 +29,7 @@
             Rec.say("TROUBLE: a job of priority low waits that needs 12 of the 16 CPUs; 8 are free");
             Thread.sleep(2000);
         }
-        Job job = CaseFailedOnce.quoteDesk("j-000003");
+        Job job = Job.quoteDesk("j-000003");
         Main.require(Main.users.submit(job) / 100 == 2, "the service was not accepted");
         double submitted = Rec.now();
         boolean held = false;
--- a/review/standin-2/CaseQuarantine.java
+++ b/review/standin-2/CaseQuarantine.java
@@ -11,21 +11,21 @@
             Main.cloud.existing("branch-box", "macon", false);
         }
         Main.awaitService();
-        Job before = CaseFailedOnce.quoteDesk("j-000001");
+        Job before = Job.quoteDesk("j-000001");
         Main.require(Main.users.submit(before) / 100 == 2, "the first service was not accepted");
         for (double until = Rec.now() + 15; worker.running().isEmpty(); Thread.sleep(200)) {
             Main.require(Rec.now() < until, "the first service did not start");
         }
         worker.sick = trouble;
         Rec.say("TROUBLE begins: %s fails every task that it starts: %s", worker.host, trouble);
-        Main.users.submit(CaseFailedOnce.quoteDesk("j-000002"));
-        Main.users.submit(CaseFailedOnce.quoteDesk("j-000003"));
+        Main.users.submit(Job.quoteDesk("j-000002"));
+        Main.users.submit(Job.quoteDesk("j-000003"));
         Thread.sleep(2500);
         worker.sick = false;
         double over = Rec.now();
         Rec.say("TROUBLE is over");
         Thread.sleep(500);
-        Job job = CaseFailedOnce.quoteDesk("j-000004");
+        Job job = Job.quoteDesk("j-000004");
         Main.require(Main.users.submit(job) / 100 == 2, "the service was not accepted");
         double submitted = Rec.now();
         boolean held = false;
--- a/review/standin-2/CaseStaleStart.java
+++ b/review/standin-2/CaseStaleStart.java
@@ -17,11 +17,7 @@
             Main.cloud.existing("branch-box", "macon", false);
         }
         Main.awaitService();
-        Job before =
-                new Job("j-000009", "quote-desk", "quote-office-0", "service", "critical", 1, 0)
-                        .with("vcpus", 2.0)
-                        .with("ramGb", 2.7)
-                        .with("yard", "savannah");
+        Job before = Job.quoteDesk("j-000009");
         Main.require(Main.users.submit(before) / 100 == 2, "the service was not accepted");
         // The controllers' idle connections to workers are closed by then.
         Main.sleepUntil(30);
--- a/review/standin-2/Job.java
+++ b/review/standin-2/Job.java
@@ -39,6 +39,14 @@
         ALL.put(uid, this);
     }
 
+    /** A service of one replica that is bound to Savannah. */
+    static Job quoteDesk(String uid) {
+        return new Job(uid, "quote-desk", "quote-office-0", "service", "critical", 1, 0)
+                .with("vcpus", 2.0)
+                .with("ramGb", 2.7)
+                .with("yard", "savannah");
+    }
+
     Job with(String field, Object value) {
         fields.put(field, value);
         return this;
