--- a/review/standin-2/Site.java
+++ b/review/standin-2/Site.java
@@ -70,6 +70,19 @@
         return site;
     }
 
+    /** Site file more/fleet/whitlock-macon-fleet.toml, whose machines are more. */
+    static Site whitlockFleet() {
+        Site site = whitlock();
+        site.teams =
+                List.of(
+                        new Team("quote-office-0", 300, 700),
+                        new Team("quote-office-1", 300, 700));
+        site.reportS = 4;
+        site.cpuShare = 0.34;
+        site.ramMb = 360;
+        return site;
+    }
+
     /** Site file sites/adfp-brasov.toml. */
     static Site brasov() {
         Site site = new Site();
