--- a/review/standin-2/Cloud.java
+++ b/review/standin-2/Cloud.java
@@ -33,7 +33,7 @@
         this.nodes = nodes;
         this.labels = labels;
         int port = Http.freePort();
-        address = "127.0.0.1:" + port;
+        address = Http.HOST + ":" + port;
         Http.serve(port, this::handle);
     }
 
--- a/review/standin-2/Http.java
+++ b/review/standin-2/Http.java
@@ -25,6 +25,18 @@
         System.setProperty("sun.net.httpserver.nodelay", "true");
     }
 
+    /**
+     * The loopback address of this run. Outgoing connections come from 127.0.0.1, so no other run and no
+     * connection takes a port of it between the choice and the use.
+     */
+    static final String HOST =
+            "127."
+                    + ThreadLocalRandom.current().nextInt(1, 255)
+                    + "."
+                    + ThreadLocalRandom.current().nextInt(1, 255)
+                    + "."
+                    + ThreadLocalRandom.current().nextInt(1, 255);
+
     static final ExecutorService POOL =
             Executors.newCachedThreadPool(
                     task -> {
@@ -60,7 +72,7 @@
     /** For a handler that asks from which port the request came. */
     static HttpServer serveWithPort(int port, PortHandler handler) throws IOException {
         HttpServer server =
-                HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 512);
+                HttpServer.create(new InetSocketAddress(InetAddress.getByName(HOST), port), 512);
         server.setExecutor(POOL);
         server.createContext(
                 "/",
@@ -76,7 +88,7 @@
 
     static HttpServer serve(int port, Handler handler) throws IOException {
         HttpServer server =
-                HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 512);
+                HttpServer.create(new InetSocketAddress(InetAddress.getByName(HOST), port), 512);
         server.setExecutor(POOL);
         server.createContext("/", exchange -> answer(exchange, handler));
         server.start();
@@ -132,13 +144,13 @@
 
     private static final Set<Integer> TAKEN = ConcurrentHashMap.newKeySet();
 
-    /** A free port below those that the system gives to outgoing connections. */
+    /** A free port of this run's address. */
     static int freePort() throws IOException {
         for (int tries = 0; tries < 1000; tries++) {
             int port = ThreadLocalRandom.current().nextInt(12_000, 32_000);
             if (TAKEN.add(port)) {
                 try (ServerSocket socket =
-                        new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                        new ServerSocket(port, 1, InetAddress.getByName(HOST))) {
                     return socket.getLocalPort();
                 } catch (BindException e) {
                     // Another program has it.
--- a/review/standin-2/Nodes.java
+++ b/review/standin-2/Nodes.java
@@ -28,8 +28,8 @@
         this.folder = folder;
         for (int i = 0; i < site.nodeZones.size(); i++) {
             labels.add("loomhost-" + i);
-            addresses.add("127.0.0.1:" + Http.freePort());
-            peerAddresses.add("127.0.0.1:" + Http.freePort());
+            addresses.add(Http.HOST + ":" + Http.freePort());
+            peerAddresses.add(Http.HOST + ":" + Http.freePort());
             processes.add(null);
         }
         int count = labels.size();
--- a/review/standin-2/Proxy.java
+++ b/review/standin-2/Proxy.java
@@ -16,7 +16,6 @@
  */
 final class Proxy {
     private static final int BACKLOG = 16;
-    private static final byte[] LOOPBACK = {127, 0, 0, 1};
 
     final String address;
     private final int port;
@@ -32,8 +31,8 @@
     Proxy(int port, String target) throws IOException {
         this.port = port;
         this.target = target;
-        address = "127.0.0.1:" + port;
-        server = new ServerSocket(port, BACKLOG, InetAddress.getByAddress(LOOPBACK));
+        address = Http.HOST + ":" + port;
+        server = new ServerSocket(port, BACKLOG, InetAddress.getByName(Http.HOST));
         Thread thread = new Thread(this::acceptAll);
         thread.setDaemon(true);
         thread.start();
@@ -54,7 +53,7 @@
         for (int i = 0; i < 4 * BACKLOG; i++) {
             Socket filler = new Socket();
             try {
-                filler.connect(new InetSocketAddress(InetAddress.getByAddress(LOOPBACK), port), 60);
+                filler.connect(new InetSocketAddress(InetAddress.getByName(Http.HOST), port), 60);
                 fillers.add(filler);
             } catch (IOException e) {
                 filler.close();
@@ -102,7 +101,7 @@
             Socket callee = new Socket();
             callee.connect(
                     new InetSocketAddress(
-                            InetAddress.getByAddress(LOOPBACK),
+                            InetAddress.getByName(Http.HOST),
                             Integer.parseInt(target.substring(colon + 1))));
             caller.setTcpNoDelay(true);
             callee.setTcpNoDelay(true);
--- a/review/standin-2/StateService.java
+++ b/review/standin-2/StateService.java
@@ -41,7 +41,7 @@
         requestTokens = site.stateRps;
         changeTokens = site.stateWriteRps;
         int port = Http.freePort();
-        address = "127.0.0.1:" + port;
+        address = Http.HOST + ":" + port;
         Http.serve(port, this::handle);
     }
 
--- a/review/standin-2/Worker.java
+++ b/review/standin-2/Worker.java
@@ -111,7 +111,7 @@
         this.nodeLabels = nodeLabels;
         int own = Http.freePort();
         Http.serveWithPort(own, this::handle);
-        link = new Proxy(Http.freePort(), "127.0.0.1:" + own);
+        link = new Proxy(Http.freePort(), Http.HOST + ":" + own);
         address = link.address;
         node = ThreadLocalRandom.current().nextInt(nodes.size());
     }
